--- /dev/null
+++ b/Source/cw_condemner.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "cw_keeper_command.h"
+#include "cw_keeper_event.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+class cw_balancer;
+class cw_keeper_context;
+class cw_lease_keeper;
+class cw_membership;
+
+/// Takes the slices of a lost upstream away from it and hands them to others.
+///
+/// The table is written only after every member of the ring has confirmed a hold on the upstream, and
+/// the last lease that any of them may have granted has ended. The members are taken from a record that
+/// was read after the base epoch of the hold was known; a keeper that joins later raises the epoch
+/// before its first grant, and the write then fails.
+class cw_condemner {
+public:
+    cw_condemner(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases,
+                 const cw_balancer& balancer);
+
+    void on_tick(cw_time_point now);
+    void on_hold_ack(const cw_ring_member& from, const cw_hold_ack_message& ack, cw_time_point now);
+    void on_reachable(const std::string& upstream, cw_time_point now);
+    void on_write(const cw_write_event& event);
+
+    [[nodiscard]] bool is_condemned(const std::string& upstream) const {
+        return rounds_.contains(upstream);
+    }
+
+private:
+    struct round {
+        std::string service;
+        std::uint64_t nonce = 0;
+        std::uint64_t base_epoch = 0;
+        cw_time_point started;
+        cw_time_point lapse_at;
+        cw_time_point next_hold{};
+        std::set<cw_ring_member> acked;
+        std::optional<cw_write_command> write;
+        cw_time_point resend_at{};
+    };
+
+    void consider(const std::string& upstream, cw_time_point now);
+    void advance(const std::string& upstream, round& current, cw_time_point now);
+    [[nodiscard]] bool is_released_by_all(const std::string& upstream, round& current,
+                                          cw_time_point now);
+    void write_table(const std::string& upstream, round& current, cw_time_point now);
+    void cancel(const std::string& upstream, const round& current);
+
+    cw_keeper_context& context_;
+    cw_membership& membership_;
+    cw_lease_keeper& leases_;
+    const cw_balancer& balancer_;
+    std::map<std::string, round> rounds_;
+};
--- /dev/null
+++ b/Source/cw_hold_book.cpp
@@ -0,0 +1,47 @@
+#include "cw_hold_book.h"
+
+#include <algorithm>
+
+bool cw_hold_book::add(const cw_ring_member& from, const std::string& upstream,
+                       std::uint64_t nonce, std::uint64_t base_epoch,
+                       cw_time_point now) {
+    auto& known = holds_[upstream][from];
+    if (nonce < known.nonce || (nonce == known.nonce && !known.active)) {
+        return false;
+    }
+    const auto earlier = known.active ? known.base_epoch : 0;
+    const auto since = nonce == known.nonce ? known.since : now;
+    known = {nonce, std::max(base_epoch, earlier), true, since};
+    return true;
+}
+
+void cw_hold_book::remove(const cw_ring_member& from, const std::string& upstream,
+                          std::uint64_t nonce) {
+    auto& known = holds_[upstream][from];
+    if (nonce >= known.nonce) {
+        known = {nonce, 0, false, {}};
+    }
+}
+
+bool cw_hold_book::is_held(const std::string& upstream, std::uint64_t table_epoch) const {
+    const auto found = holds_.find(upstream);
+    return found != holds_.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) {
+               return entry.second.active && entry.second.base_epoch >= table_epoch;
+           });
+}
+
+std::vector<cw_hold_book::holder> cw_hold_book::holders(const std::string& upstream,
+                                                        std::uint64_t table_epoch) const {
+    std::vector<holder> result;
+    const auto found = holds_.find(upstream);
+    if (found == holds_.end()) {
+        return result;
+    }
+    for (const auto& [member, entry] : found->second) {
+        if (entry.active && entry.base_epoch >= table_epoch) {
+            result.push_back({member, entry.since});
+        }
+    }
+    return result;
+}
--- /dev/null
+++ b/Source/cw_hold_book.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cw_ring_member.h"
+#include "cw_time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// Holds that this keeper has confirmed: upstreams to which it grants nothing until the table of
+/// their service passes the base epoch of the hold, or the holder takes the hold back.
+class cw_hold_book {
+public:
+    /// Notes a hold; false when the holder has already taken this hold back.
+    bool add(const cw_ring_member& from, const std::string& upstream, std::uint64_t nonce,
+             std::uint64_t base_epoch, cw_time_point now);
+    void remove(const cw_ring_member& from, const std::string& upstream, std::uint64_t nonce);
+    [[nodiscard]] bool is_held(const std::string& upstream, std::uint64_t table_epoch) const;
+    /// One hold that is in force.
+    struct holder {
+        cw_ring_member member;
+        cw_time_point since;
+    };
+    [[nodiscard]] std::vector<holder> holders(const std::string& upstream,
+                                              std::uint64_t table_epoch) const;
+
+private:
+    struct hold {
+        std::uint64_t nonce = 0;
+        std::uint64_t base_epoch = 0;
+        bool active = false;
+        cw_time_point since{};
+    };
+
+    std::map<std::string, std::map<cw_ring_member, hold>> holds_;
+};
--- /dev/null
+++ b/Source/cw_keeper_command.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "cw_lease_grant.h"
+#include "cw_peer_message.h"
+#include "cw_timeline_event.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+/// Outputs of the keeper's decision code, carried out by the shell around it.
+
+struct cw_send_peer_command {
+    /// Host id of the receiving keeper.
+    std::string to;
+    cw_peer_body body;
+};
+struct cw_send_grant_command {
+    cw_lease_grant grant;
+};
+/// Writes a value if the key still has the expected version; 0 expects no value.
+struct cw_write_command {
+    std::string key;
+    std::string value;
+    std::uint64_t expected_version = 0;
+    std::string writer;
+};
+struct cw_read_command {
+    std::string key;
+};
+/// The ownership table of a service has changed; routers should be told.
+struct cw_publish_command {
+    std::string service;
+};
+/// All rights are given up; the process may end.
+struct cw_stopped_command {};
+
+using cw_keeper_command =
+    std::variant<cw_send_peer_command, cw_send_grant_command, cw_write_command, cw_read_command,
+                 cw_publish_command, cw_stopped_command, cw_timeline_event>;
--- /dev/null
+++ b/Source/cw_keeper_context.cpp
@@ -0,0 +1,86 @@
+#include "cw_keeper_context.h"
+
+#include <utility>
+
+const cw_stored_table* cw_keeper_context::table(const std::string& service) const {
+    const auto found = tables_.find(service);
+    return found == tables_.end() ? nullptr : &found->second;
+}
+
+const cw_host* cw_keeper_context::host(const std::string& id) const {
+    const auto found = hosts_.find(id);
+    return found == hosts_.end() ? nullptr : &found->second;
+}
+
+bool cw_keeper_context::is_host_gone(const std::string& id, cw_time_point now) const {
+    const auto found = missing_since_.find(id);
+    return found != missing_since_.end() && now >= found->second + timings_.host_absence;
+}
+
+std::vector<std::string> cw_keeper_context::entry_hosts(const std::string& domain) const {
+    std::vector<std::string> ids;
+    for (const auto& [id, host] : hosts_) {
+        if (host.kind == cw_host_kind::entry && host.domain == domain) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<cw_upstream_place>
+cw_keeper_context::live_upstreams(const std::string& service) const {
+    std::vector<cw_upstream_place> places;
+    for (const auto& [id, host] : hosts_) {
+        if (host.kind == cw_host_kind::upstream && host.service == service && !host.leaving) {
+            places.push_back({id, host.domain, host.address});
+        }
+    }
+    return places;
+}
+
+const cw_service_config* cw_keeper_context::service_config(const std::string& service) const {
+    return config_ == nullptr ? nullptr : config_->service(service);
+}
+
+void cw_keeper_context::set_hosts(const std::vector<cw_host>& hosts, cw_time_point now) {
+    std::map<std::string, cw_host> next;
+    for (const auto& host : hosts) {
+        next.emplace(host.id, host);
+    }
+    for (const auto& [id, host] : hosts_) {
+        if (!next.contains(id)) {
+            missing_since_.try_emplace(id, now);
+        }
+    }
+    for (const auto& [id, host] : next) {
+        missing_since_.erase(id);
+    }
+    hosts_ = std::move(next);
+}
+
+bool cw_keeper_context::set_table(cw_stored_table stored) {
+    const auto service = stored.table.service();
+    const auto* known = table(service);
+    if (known != nullptr && known->store_version >= stored.store_version) {
+        return false;
+    }
+    tables_.insert_or_assign(service, std::move(stored));
+    return true;
+}
+
+std::string cw_keeper_context::next_writer() {
+    return self_.host + "." + std::to_string(self_.incarnation) + "." +
+           std::to_string(next_number());
+}
+
+void cw_keeper_context::note(std::string what, std::string subject, std::string detail) {
+    emit(cw_timeline_event{std::move(what), std::move(subject), std::move(detail)});
+}
+
+void cw_keeper_context::send(const std::string& to, cw_peer_body body) {
+    emit(cw_send_peer_command{to, std::move(body)});
+}
+
+std::vector<cw_keeper_command> cw_keeper_context::take_commands() {
+    return std::exchange(commands_, {});
+}
--- /dev/null
+++ b/Source/cw_keeper_core.cpp
@@ -0,0 +1,143 @@
+#include "cw_keeper_core.h"
+
+#include "cw_store_key.h"
+
+cw_keeper_core::cw_keeper_core(cw_ring_member self, std::string domain, cw_timings timings)
+    : context_{std::move(self), std::move(domain), timings}, membership_{context_},
+      leases_{context_, membership_}, mover_{context_, membership_, leases_},
+      balancer_{context_, membership_, leases_, mover_},
+      condemner_{context_, membership_, leases_, balancer_},
+      releaser_{context_, membership_, balancer_} {}
+
+std::vector<cw_keeper_command> cw_keeper_core::decide(const cw_keeper_event& event,
+                                                      cw_time_point now) {
+    std::visit([&](const auto& body) { handle(body, now); }, event);
+    return context_.take_commands();
+}
+
+std::vector<std::string> cw_keeper_core::watched_keys() const {
+    std::vector<std::string> keys{cw_ring_key(context_.domain())};
+    for (const auto& ward : releaser_.wards()) {
+        keys.push_back(cw_ring_key(ward));
+    }
+    if (context_.config() != nullptr) {
+        const auto* domain = context_.config()->domain(context_.domain());
+        for (const auto& service : context_.config()->services) {
+            if (service.keyed && domain != nullptr && service.firm == domain->firm) {
+                keys.push_back(cw_table_key(service.name));
+            }
+        }
+    }
+    return keys;
+}
+
+void cw_keeper_core::handle(const cw_tick_event& /*event*/, cw_time_point now) {
+    membership_.on_tick(now);
+    if (stopping_) {
+        if (!stopped_ && (now >= stop_by_ || !membership_.is_member())) {
+            stopped_ = true;
+            context_.emit(cw_stopped_command{});
+        }
+        return;
+    }
+    if (!membership_.ring()) {
+        return;
+    }
+    leases_.on_tick(now);
+    mover_.on_tick(now);
+    condemner_.on_tick(now);
+    releaser_.on_tick(now);
+    balancer_.on_tick(now);
+}
+
+void cw_keeper_core::handle(const cw_hosts_event& event, cw_time_point now) {
+    context_.set_hosts(event.hosts, now);
+}
+
+void cw_keeper_core::handle(const cw_config_event& event, cw_time_point /*now*/) {
+    const auto* present = context_.config();
+    if (present != nullptr && event.config->version <= present->version) {
+        return;
+    }
+    context_.set_config(event.config);
+    context_.note("config-in-force", "version " + std::to_string(event.config->version));
+}
+
+void cw_keeper_core::handle(const cw_table_event& event, cw_time_point now) {
+    if (!context_.set_table({event.table, event.store_version})) {
+        return;
+    }
+    const auto& service = event.table.service();
+    leases_.on_table(*context_.table(service), now);
+    balancer_.on_table(event.table, now);
+    context_.emit(cw_publish_command{service});
+    if (membership_.ring() && !stopping_) {
+        // A change of owners is carried out at once rather than with the next tick.
+        leases_.on_tick(now);
+        mover_.on_tick(now);
+    }
+}
+
+void cw_keeper_core::handle(const cw_ring_event& event, cw_time_point now) {
+    membership_.on_ring(event, now);
+    releaser_.on_ring(event, now);
+}
+
+void cw_keeper_core::handle(const cw_write_event& event, cw_time_point /*now*/) {
+    membership_.on_write(event);
+    leases_.on_write(event);
+    condemner_.on_write(event);
+    mover_.on_write(event);
+    releaser_.on_write(event);
+}
+
+void cw_keeper_core::handle(const cw_peer_message& event, cw_time_point now) {
+    if (event.from.host == context_.self().host) {
+        return;
+    }
+    membership_.on_heard(event.from, now);
+    handle_body(event.from, event.body, now);
+}
+
+void cw_keeper_core::handle_body(const cw_ring_member& from, const cw_peer_body& body,
+                                 cw_time_point now) {
+    if (const auto* ask = std::get_if<cw_ask_message>(&body)) {
+        membership_.on_ask(from, *ask, now);
+    } else if (const auto* promise = std::get_if<cw_promise_message>(&body)) {
+        membership_.on_promise(from, *promise);
+    } else if (const auto* hold = std::get_if<cw_hold_message>(&body)) {
+        leases_.on_hold(from, *hold, now);
+    } else if (const auto* ack = std::get_if<cw_hold_ack_message>(&body)) {
+        condemner_.on_hold_ack(from, *ack, now);
+        mover_.on_hold_ack(from, *ack, now);
+    } else if (const auto* unhold = std::get_if<cw_unhold_message>(&body)) {
+        leases_.on_unhold(from, *unhold);
+    } else if (const auto* reachable = std::get_if<cw_reachable_message>(&body)) {
+        condemner_.on_reachable(reachable->upstream, now);
+    } else if (std::holds_alternative<cw_leave_message>(body)) {
+        membership_.on_leave(from);
+    } else if (const auto* load = std::get_if<cw_load_message>(&body)) {
+        balancer_.on_peer_load(from, *load, now);
+    }
+}
+
+void cw_keeper_core::handle(const cw_lease_reply& event, cw_time_point now) {
+    leases_.on_reply(event, now);
+    mover_.on_reply(event, now);
+    if (membership_.ring() && !stopping_) {
+        leases_.on_tick(now);
+    }
+}
+
+void cw_keeper_core::handle(const cw_router_load_event& event, cw_time_point /*now*/) {
+    balancer_.on_router_load(event);
+}
+
+void cw_keeper_core::handle(const cw_stop_event& /*event*/, cw_time_point now) {
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stop_by_ = now + 2 * context_.timings().store_retry;
+    membership_.retire(now);
+}
--- /dev/null
+++ b/Source/cw_lease_keeper.cpp
@@ -0,0 +1,354 @@
+#include "cw_lease_keeper.h"
+
+#include "cw_keeper_context.h"
+#include "cw_membership.h"
+#include "cw_store_key.h"
+
+#include <algorithm>
+
+namespace {
+
+/// Failed exchanges in a row after which an upstream is suspected without waiting for silence.
+constexpr std::uint32_t failures_for_suspicion = 2;
+
+std::chrono::milliseconds rounded_up(std::chrono::nanoseconds duration) {
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration),
+                    std::chrono::milliseconds{0});
+}
+
+} // namespace
+
+cw_lease_keeper::cw_lease_keeper(cw_keeper_context& context, cw_membership& membership)
+    : context_{context}, membership_{membership} {}
+
+cw_upstream_lease* cw_lease_keeper::lease(const std::string& upstream) {
+    const auto found = leases_.find(upstream);
+    return found == leases_.end() ? nullptr : &found->second;
+}
+
+bool cw_lease_keeper::is_responsible(const std::string& upstream, cw_time_point now) const {
+    const auto found = leases_.find(upstream);
+    if (found == leases_.end() || !membership_.is_member() || membership_.is_retired()) {
+        return false;
+    }
+    if (now < found->second.adopted_until) {
+        return true;
+    }
+    return now >= found->second.avoided_until && membership_.is_primary(upstream, now);
+}
+
+bool cw_lease_keeper::is_suspect(const std::string& upstream, cw_time_point now) const {
+    const auto found = leases_.find(upstream);
+    if (found == leases_.end() || !found->second.silent_since) {
+        return false;
+    }
+    return found->second.failures >= failures_for_suspicion ||
+           now >= *found->second.silent_since + context_.timings().suspicion;
+}
+
+bool cw_lease_keeper::is_healthy(const std::string& upstream, cw_time_point now) const {
+    const auto found = leases_.find(upstream);
+    return found != leases_.end() && found->second.last_answer && !found->second.silent_since &&
+           now < *found->second.last_answer + context_.timings().lease;
+}
+
+bool cw_lease_keeper::is_admitted(const std::string& service) const {
+    const auto found = admitted_.find(service);
+    return membership_.is_member() && found != admitted_.end() &&
+           found->second == membership_.joined_epoch();
+}
+
+bool cw_lease_keeper::may_grant(const std::string& upstream, cw_time_point now) const {
+    const auto found = leases_.find(upstream);
+    if (found == leases_.end()) {
+        return false;
+    }
+    const auto& service = found->second.service;
+    const auto* stored = context_.table(service);
+    const auto* config = context_.service_config(service);
+    if (stored == nullptr || config == nullptr || !is_admitted(service)) {
+        return false;
+    }
+    if (holds_.is_held(upstream, stored->table.epoch())) {
+        return false;
+    }
+    if (is_released(service, stored->table.epoch())) {
+        return false;
+    }
+    return membership_.may_grant(config->cut_off, now);
+}
+
+void cw_lease_keeper::hurry(const std::string& upstream) {
+    if (auto* known = lease(upstream); known != nullptr) {
+        known->next_send = {};
+    }
+}
+
+void cw_lease_keeper::set_place(const std::string& upstream, const std::string& service,
+                                const std::string& address) {
+    auto& lease = leases_[upstream];
+    if (lease.address != address) {
+        // Another process answers there; only the ends of leases already granted still count.
+        const auto possible_until = lease.possible_until;
+        lease = {};
+        lease.possible_until = possible_until;
+    }
+    lease.service = service;
+    lease.address = address;
+}
+
+void cw_lease_keeper::refresh_upstreams() {
+    for (const auto& [id, host] : context_.hosts()) {
+        const auto* service = context_.service_config(host.service);
+        const auto* stored = context_.table(host.service);
+        const bool mine = host.kind == cw_host_kind::upstream && host.domain == context_.domain() &&
+                          service != nullptr && service->keyed;
+        if (mine && (stored == nullptr || !stored->table.owns_slices(id))) {
+            set_place(id, host.service, host.address);
+        }
+    }
+    for (const auto& [service, stored] : context_.tables()) {
+        for (const auto& [id, owner] : stored.table.owners()) {
+            if (owner.domain == context_.domain() && stored.table.owns_slices(id)) {
+                set_place(id, service, owner.address);
+            }
+        }
+    }
+}
+
+void cw_lease_keeper::admit_services(cw_time_point now) {
+    const auto* config = context_.config();
+    const auto* domain = config == nullptr ? nullptr : config->domain(context_.domain());
+    if (domain == nullptr || !membership_.is_member() || membership_.is_retired()) {
+        return;
+    }
+    for (const auto& service : config->services) {
+        const auto* stored = context_.table(service.name);
+        if (!service.keyed || service.firm != domain->firm || stored == nullptr) {
+            continue;
+        }
+        if (!is_admitted(service.name) || is_released(service.name, stored->table.epoch())) {
+            touch(service.name, "", 0, now);
+        }
+    }
+}
+
+bool cw_lease_keeper::is_released(const std::string& service, std::uint64_t table_epoch) const {
+    const auto& released = membership_.ring()->released;
+    const auto found = released.find(service);
+    return found != released.end() && table_epoch <= found->second;
+}
+
+void cw_lease_keeper::touch(const std::string& service, const std::string& upstream,
+                            std::uint64_t least_epoch, cw_time_point now) {
+    const auto* stored = context_.table(service);
+    auto& pending = touches_[service];
+    if (stored == nullptr || now < pending.retry_at) {
+        return;
+    }
+    pending.epoch = std::max(stored->table.epoch() + 1, least_epoch);
+    pending.writer = context_.next_writer();
+    pending.retry_at = now + context_.timings().store_retry;
+    auto next = stored->table.touched(upstream, pending.epoch);
+    next.set_writer(pending.writer);
+    context_.emit(cw_write_command{cw_table_key(service), next.to_json(), stored->store_version,
+                                   pending.writer});
+}
+
+void cw_lease_keeper::on_write(const cw_write_event& event) {
+    for (auto& [service, pending] : touches_) {
+        if (pending.writer != event.writer) {
+            continue;
+        }
+        if (event.outcome == cw_write_outcome::done) {
+            admitted_[service] = membership_.joined_epoch();
+        }
+        if (event.outcome != cw_write_outcome::unknown) {
+            pending.retry_at = {};
+            context_.emit(cw_read_command{cw_table_key(service)});
+        }
+    }
+}
+
+void cw_lease_keeper::on_table(const cw_stored_table& stored, cw_time_point now) {
+    const auto& table = stored.table;
+    const auto touched = touches_.find(table.service());
+    if (touched != touches_.end() && !table.writer().empty() &&
+        touched->second.writer == table.writer()) {
+        admitted_[table.service()] = membership_.joined_epoch();
+    }
+    refresh_upstreams();
+    for (auto& [id, lease] : leases_) {
+        if (lease.service == table.service() && table.fence_of(id) > lease.held_fence) {
+            lease.next_send = now;
+        }
+    }
+}
+
+void cw_lease_keeper::on_hold(const cw_ring_member& from, const cw_hold_message& hold,
+                              cw_time_point now) {
+    auto& lease = leases_[hold.upstream];
+    lease.service = hold.service;
+    if (!holds_.add(from, hold.upstream, hold.nonce, hold.base_epoch, now)) {
+        return;
+    }
+    context_.send(from.host,
+                  cw_hold_ack_message{hold.nonce, rounded_up(lease.possible_until - now)});
+    // The holder may be the one that is cut off, so this keeper looks for itself.
+    if (is_healthy(hold.upstream, now) && lease.last_answer &&
+        now < *lease.last_answer + context_.timings().probe) {
+        context_.send(from.host, cw_reachable_message{hold.upstream});
+        lease.adopted_until = now + context_.timings().removal;
+    } else if (lease.exchange == 0) {
+        send(hold.upstream, lease, false, now);
+    }
+}
+
+void cw_lease_keeper::on_unhold(const cw_ring_member& from, const cw_unhold_message& unhold) {
+    holds_.remove(from, unhold.upstream, unhold.nonce);
+    hurry(unhold.upstream);
+}
+
+void cw_lease_keeper::on_tick(cw_time_point now) {
+    refresh_upstreams();
+    admit_services(now);
+    for (auto& [id, lease] : leases_) {
+        expire_exchange(lease, now);
+        if (is_responsible(id, now)) {
+            lift_foreign_hold(id, lease, now);
+            renew(id, lease, now);
+        }
+    }
+}
+
+void cw_lease_keeper::expire_exchange(cw_upstream_lease& lease, cw_time_point now) {
+    const auto patience = context_.timings().probe * 2;
+    if (lease.exchange != 0 && now >= lease.exchange_sent + patience) {
+        lease.exchange = 0;
+        lease.unanswered_until = lease.possible_until;
+        if (!lease.silent_since) {
+            lease.silent_since = lease.exchange_sent;
+        }
+        lease.next_send = now;
+    }
+}
+
+void cw_lease_keeper::lift_foreign_hold(const std::string& upstream, cw_upstream_lease& lease,
+                                        cw_time_point now) {
+    const auto* stored = context_.table(lease.service);
+    if (stored == nullptr || !is_healthy(upstream, now)) {
+        return;
+    }
+    const auto holders = holds_.holders(upstream, stored->table.epoch());
+    const bool orphaned = std::any_of(holders.begin(), holders.end(), [&](const auto& holder) {
+        return holder.member != context_.self() &&
+               (!membership_.is_alive(holder.member.host, now) ||
+                now >= holder.since + context_.timings().removal);
+    });
+    if (orphaned) {
+        // The holder is silent or has forgotten, and the upstream is well: a new epoch voids the
+        // hold, and with it any table that the holder may still write.
+        touch(lease.service, "", 0, now);
+    }
+}
+
+void cw_lease_keeper::renew(const std::string& upstream, cw_upstream_lease& lease,
+                            cw_time_point now) {
+    if (lease.exchange != 0 || now < lease.next_send || lease.address.empty()) {
+        return;
+    }
+    // A grant that goes unanswered may still have been taken and would have to be waited out, so a
+    // silent upstream is only asked for its clock.
+    const bool with_lease =
+        lease.reading_received && !lease.silent_since && may_grant(upstream, now);
+    send(upstream, lease, with_lease, now);
+}
+
+void cw_lease_keeper::send(const std::string& upstream, cw_upstream_lease& lease, bool with_lease,
+                           cw_time_point now) {
+    const auto* stored = context_.table(lease.service);
+    if (lease.address.empty()) {
+        return;
+    }
+    cw_lease_grant grant;
+    grant.upstream = upstream;
+    grant.address = lease.address;
+    grant.exchange = context_.next_number();
+    grant.incarnation = lease.incarnation;
+    lease.exchange = grant.exchange;
+    lease.exchange_sent = now;
+    const bool pausing = lease.silent_since || !lease.reading_received;
+    lease.next_send = now + (pausing ? context_.timings().probe : context_.timings().renewal);
+    const bool owns = stored != nullptr && stored->table.fence_of(upstream) != 0;
+    if (with_lease && owns) {
+        const auto& timings = context_.timings();
+        grant.fence = lease.override_grant ? lease.override_grant->fence
+                                           : stored->table.fence_of(upstream);
+        // The reading was taken no later than it was received, so the deadline falls no later than
+        // now + lease however long this message travels.
+        grant.deadline = lease.reading + std::chrono::floor<std::chrono::microseconds>(
+                                             now - *lease.reading_received + timings.lease);
+        if (lease.held_fence != grant.fence || lease.answer_slices) {
+            grant.slices = lease.override_grant ? lease.override_grant->slices
+                                                : stored->table.owned_by(upstream);
+        }
+        const auto until = now + timings.lease + timings.drift;
+        lease.possible_until = std::max(lease.possible_until, until);
+    }
+    context_.emit(cw_send_grant_command{std::move(grant)});
+}
+
+void cw_lease_keeper::on_reply(const cw_lease_reply& reply, cw_time_point now) {
+    auto* known = lease(reply.upstream);
+    if (known == nullptr) {
+        return;
+    }
+    auto& state = *known;
+    const bool current = state.exchange == reply.exchange;
+    if (current) {
+        state.exchange = 0;
+    }
+    if (reply.outcome == cw_lease_outcome::failed) {
+        if (current) {
+            ++state.failures;
+            state.unanswered_until = state.possible_until;
+            state.next_send = now + context_.timings().probe;
+            if (!state.silent_since) {
+                state.silent_since = state.exchange_sent;
+            }
+        }
+        return;
+    }
+    if (state.incarnation != reply.incarnation || !state.reading_received ||
+        reply.reading > state.reading) {
+        state.incarnation = reply.incarnation;
+        state.reading = reply.reading;
+        state.reading_received = now;
+        state.held_fence = reply.held_fence;
+    }
+    const bool was_silent = state.silent_since.has_value() || !state.last_answer;
+    state.last_answer = now;
+    state.silent_since.reset();
+    state.failures = 0;
+    state.draining = reply.draining;
+    state.answer_slices = reply.outcome == cw_lease_outcome::need_slices;
+    if (was_silent || reply.outcome == cw_lease_outcome::need_slices ||
+        reply.outcome == cw_lease_outcome::wrong_incarnation) {
+        state.next_send = now;
+    }
+    if (reply.outcome == cw_lease_outcome::stale_fence) {
+        handle_stale_fence(reply, state, now);
+    }
+}
+
+void cw_lease_keeper::handle_stale_fence(const cw_lease_reply& reply,
+                                         const cw_upstream_lease& lease, cw_time_point now) {
+    const auto* stored = context_.table(lease.service);
+    if (stored == nullptr || lease.override_grant || !is_responsible(reply.upstream, now) ||
+        reply.held_fence <= stored->table.fence_of(reply.upstream)) {
+        return;
+    }
+    // A hand-over was begun and not written, or this table is old; a fence above both settles it.
+    context_.emit(cw_read_command{cw_table_key(lease.service)});
+    touch(lease.service, reply.upstream, reply.held_fence + 1, now);
+}
--- /dev/null
+++ b/Source/cw_membership.cpp
@@ -0,0 +1,358 @@
+#include "cw_membership.h"
+
+#include "cw_keeper_context.h"
+#include "cw_key_hash.h"
+#include "cw_store_key.h"
+
+#include <algorithm>
+
+cw_membership::cw_membership(cw_keeper_context& context)
+    : context_{context}, tenure_{context.timings().tenure} {}
+
+bool cw_membership::is_member() const { return ring_ && ring_->has(context_.self()); }
+
+std::vector<std::string> cw_membership::ring_peers() const {
+    std::vector<std::string> peers;
+    for (const auto& member : ring_->members) {
+        if (member != context_.self()) {
+            peers.push_back(member.host);
+        }
+    }
+    return peers;
+}
+
+bool cw_membership::may_grant(cw_cut_off_policy policy, cw_time_point now) const {
+    if (!is_member() || retired_) {
+        return false;
+    }
+    auto superseders = ring_peers();
+    if (policy == cw_cut_off_policy::release) {
+        superseders.insert(superseders.end(), ring_->deputies.begin(), ring_->deputies.end());
+    }
+    return tenure_.holds(superseders, now);
+}
+
+bool cw_membership::is_alive(const std::string& host, cw_time_point now) const {
+    if (host == context_.self().host) {
+        return !retired_;
+    }
+    const auto known = incarnations_.find(host);
+    if (known != incarnations_.end() && left_.contains(known->second)) {
+        return false;
+    }
+    const auto heard = heard_.find(host);
+    return heard != heard_.end() && now < heard->second + context_.timings().suspicion;
+}
+
+std::optional<cw_time_point> cw_membership::last_heard(const std::string& host) const {
+    const auto heard = heard_.find(host);
+    return heard == heard_.end() ? std::nullopt : std::optional{heard->second};
+}
+
+std::vector<std::string> cw_membership::alive_members(cw_time_point now) const {
+    std::vector<std::string> alive;
+    if (ring_) {
+        for (const auto& member : ring_->members) {
+            if (is_alive(member.host, now)) {
+                alive.push_back(member.host);
+            }
+        }
+    }
+    return alive;
+}
+
+bool cw_membership::is_primary(const std::string& upstream, cw_time_point now) const {
+    if (!is_member()) {
+        return false;
+    }
+    const auto own = cw_rendezvous_weight(upstream, context_.self().host);
+    const auto alive = alive_members(now);
+    return std::none_of(alive.begin(), alive.end(), [&](const std::string& host) {
+        return cw_rendezvous_weight(upstream, host) > own;
+    });
+}
+
+bool cw_membership::is_leader(cw_time_point now) const {
+    const auto alive = alive_members(now);
+    return is_member() && !alive.empty() && alive.front() == context_.self().host;
+}
+
+bool cw_membership::counts_on_me(const cw_ring_member& member, std::uint64_t epoch) const {
+    const auto found = asked_me_.find(member.host);
+    return found != asked_me_.end() && found->second.member == member &&
+           found->second.ring_epoch >= epoch;
+}
+
+std::uint64_t cw_membership::joined_epoch() const {
+    return is_member() ? ring_->since.at(context_.self().host) : 0;
+}
+
+void cw_membership::withhold_promises(const std::string& domain, std::uint64_t ring_epoch) {
+    withheld_[domain] = std::max(withheld_[domain], ring_epoch);
+}
+
+void cw_membership::on_heard(const cw_ring_member& from, cw_time_point now) {
+    auto& known = incarnations_[from.host];
+    if (from.incarnation < known.incarnation) {
+        return;
+    }
+    if (from != known) {
+        tenure_.forget_peer(from.host);
+        known = from;
+    }
+    heard_[from.host] = now;
+}
+
+void cw_membership::on_ask(const cw_ring_member& from, const cw_ask_message& ask,
+                           cw_time_point /*now*/) {
+    asked_me_[from.host] = {from, ask.ring_epoch};
+    if (retired_) {
+        return;
+    }
+    // While a write of this ring is under way, or a newer record is known, the asker must not be
+    // told that it will stay.
+    const bool own_domain = ask.domain == context_.domain();
+    const bool writing = own_domain && pending_.has_value();
+    const auto withheld = withheld_.find(ask.domain);
+    const bool stopped = withheld != withheld_.end() && ask.ring_epoch <= withheld->second;
+    const auto known = known_epochs_.find(ask.domain);
+    const bool outdated = known != known_epochs_.end() && ask.ring_epoch < known->second;
+    if (!writing && !stopped && !outdated) {
+        context_.send(from.host, cw_promise_message{ask.sequence});
+    }
+}
+
+void cw_membership::on_promise(const cw_ring_member& from, const cw_promise_message& promise) {
+    const auto known = incarnations_.find(from.host);
+    if (known != incarnations_.end() && known->second == from) {
+        tenure_.on_promise(from.host, promise.sequence);
+    }
+}
+
+void cw_membership::on_leave(const cw_ring_member& from) { left_.insert(from); }
+
+void cw_membership::on_ring(const cw_ring_event& event, cw_time_point now) {
+    auto& known_epoch = known_epochs_[event.ring.domain];
+    known_epoch = std::max(known_epoch, event.ring.epoch);
+    if (event.ring.domain != context_.domain()) {
+        return;
+    }
+    if (ring_known_ && event.store_version < ring_version_) {
+        return;
+    }
+    const bool is_first = !ring_known_;
+    const bool is_new = is_first || event.store_version > ring_version_;
+    bool removal = is_first;
+    if (ring_) {
+        for (const auto& member : ring_->members) {
+            removal = removal || !event.ring.has(member);
+        }
+    }
+    ring_ = event.ring;
+    ring_version_ = event.store_version;
+    ring_known_ = true;
+    ring_read_sent_ = std::max(ring_read_sent_, event.sent);
+    if (is_new) {
+        if (removal) {
+            settled_at_ = now + context_.timings().settle();
+        }
+        // A write is over once a later record is seen: it either produced that record or lost to it.
+        pending_.reset();
+        hasten_ = false;
+        context_.note("ring", context_.domain(),
+                      "epoch " + std::to_string(ring_->epoch) + ", " +
+                          std::to_string(ring_->members.size()) + " members");
+    }
+    if (is_member()) {
+        tenure_.on_store_confirmation(event.sent);
+    } else {
+        tenure_.on_removal();
+    }
+}
+
+void cw_membership::on_write(const cw_write_event& event) {
+    if (!pending_ || event.writer != pending_->command.writer) {
+        return;
+    }
+    if (event.outcome != cw_write_outcome::unknown) {
+        // Either way the record has changed; reading it tells how.
+        context_.emit(cw_read_command{cw_ring_key(context_.domain())});
+        if (event.outcome == cw_write_outcome::conflict) {
+            pending_->resend_at = cw_time_point::max();
+        }
+    }
+}
+
+void cw_membership::read_ring(cw_time_point now) {
+    if (now < next_read_) {
+        return;
+    }
+    context_.emit(cw_read_command{cw_ring_key(context_.domain())});
+    next_read_ = now + context_.timings().ask;
+}
+
+void cw_membership::retire(cw_time_point now) {
+    if (retired_) {
+        return;
+    }
+    retired_ = true;
+    pending_.reset();
+    if (!ring_) {
+        return;
+    }
+    for (const auto& peer : ring_peers()) {
+        context_.send(peer, cw_leave_message{});
+    }
+    if (is_member()) {
+        auto next = *ring_;
+        ++next.epoch;
+        next.remove(context_.self());
+        write_ring(std::move(next), now);
+    }
+}
+
+void cw_membership::on_tick(cw_time_point now) {
+    if (started_ == cw_time_point{}) {
+        started_ = now;
+    }
+    resend_write(now);
+    if (!ring_known_) {
+        read_ring(now);
+        return;
+    }
+    if (retired_) {
+        return;
+    }
+    send_asks(now);
+    keep_record(now);
+}
+
+void cw_membership::send_asks(cw_time_point now) {
+    if (now < next_ask_ || !is_member()) {
+        return;
+    }
+    next_ask_ = now + context_.timings().ask;
+    auto peers = ring_peers();
+    if (owns_release_service()) {
+        peers.insert(peers.end(), ring_->deputies.begin(), ring_->deputies.end());
+    }
+    for (const auto& peer : peers) {
+        const auto sequence = context_.next_number();
+        tenure_.on_ask_sent(peer, sequence, now);
+        context_.send(peer, cw_ask_message{sequence, context_.domain(), ring_->epoch});
+    }
+}
+
+void cw_membership::keep_record(cw_time_point now) {
+    // The store confirms the tenure whenever the peers do not, with one ask interval to spare.
+    const auto margin = now + 2 * context_.timings().ask;
+    const auto strictest = owns_release_service() ? cw_cut_off_policy::release : cw_cut_off_policy::hold;
+    if (is_member() && !may_grant(strictest, margin)) {
+        read_ring(now);
+    }
+    if (pending_) {
+        read_ring(now);
+        return;
+    }
+    if (!is_member()) {
+        join(now);
+        return;
+    }
+    remove_silent(now);
+    update_deputies(now);
+}
+
+void cw_membership::join(cw_time_point now) {
+    if (context_.config() == nullptr || context_.host(context_.self().host) == nullptr) {
+        return;
+    }
+    auto next = *ring_;
+    next.domain = context_.domain();
+    ++next.epoch;
+    next.add(context_.self());
+    write_ring(std::move(next), now);
+}
+
+bool cw_membership::may_remove(const cw_ring_member& member, cw_time_point now) const {
+    const auto known = incarnations_.find(member.host);
+    const bool replaced = known != incarnations_.end() && known->second.incarnation > member.incarnation;
+    return replaced || left_.contains(member) || context_.is_host_gone(member.host, now) ||
+           counts_on_me(member, joined_epoch());
+}
+
+void cw_membership::remove_silent(cw_time_point now) {
+    if (pending_) {
+        return;
+    }
+    const auto patience = hasten_ ? context_.timings().suspicion : context_.timings().removal;
+    auto next = *ring_;
+    for (const auto& member : ring_->members) {
+        if (member == context_.self()) {
+            continue;
+        }
+        const auto heard = heard_.find(member.host);
+        const auto since = heard == heard_.end() ? started_ : heard->second;
+        const bool silent = now >= since + patience || left_.contains(member);
+        if (silent && may_remove(member, now)) {
+            next.remove(member);
+            context_.note("member-removed", member.host);
+        }
+    }
+    if (next.members != ring_->members) {
+        ++next.epoch;
+        write_ring(std::move(next), now);
+    }
+}
+
+bool cw_membership::owns_release_service() const {
+    const auto* config = context_.config();
+    if (config == nullptr) {
+        return false;
+    }
+    return std::any_of(config->services.begin(), config->services.end(), [&](const auto& service) {
+        if (!service.keyed || service.cut_off != cw_cut_off_policy::release) {
+            return false;
+        }
+        const auto* domain = config->domain(context_.domain());
+        return domain != nullptr && domain->firm == service.firm;
+    });
+}
+
+std::vector<std::string> cw_membership::wanted_deputies() const {
+    const auto* config = context_.config();
+    if (config == nullptr || !owns_release_service()) {
+        return {};
+    }
+    const auto* deputy = config->deputy_of(context_.domain());
+    return deputy == nullptr ? std::vector<std::string>{} : context_.entry_hosts(deputy->name);
+}
+
+void cw_membership::update_deputies(cw_time_point now) {
+    if (pending_ || !is_leader(now)) {
+        return;
+    }
+    auto wanted = wanted_deputies();
+    if (wanted != ring_->deputies) {
+        auto next = *ring_;
+        ++next.epoch;
+        next.deputies = std::move(wanted);
+        next.deputies_since = next.epoch;
+        write_ring(std::move(next), now);
+    }
+}
+
+void cw_membership::write_ring(cw_ring next, cw_time_point now) {
+    next.writer = context_.next_writer();
+    const cw_write_command command{cw_ring_key(context_.domain()), next.to_json(), ring_version_,
+                                   next.writer};
+    pending_ = pending_write{command, now + context_.timings().store_retry};
+    context_.emit(command);
+}
+
+void cw_membership::resend_write(cw_time_point now) {
+    // Sending the same conditional write again is safe: at most one of the copies can succeed.
+    if (pending_ && now >= pending_->resend_at) {
+        pending_->resend_at = now + context_.timings().store_retry;
+        context_.emit(pending_->command);
+    }
+}
--- /dev/null
+++ b/Source/cw_mover.cpp
@@ -0,0 +1,190 @@
+#include "cw_mover.h"
+
+#include "cw_keeper_context.h"
+#include "cw_lease_keeper.h"
+#include "cw_membership.h"
+#include "cw_store_key.h"
+
+#include <algorithm>
+
+cw_mover::cw_mover(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases)
+    : context_{context}, membership_{membership}, leases_{leases} {}
+
+bool cw_mover::is_idle(const std::string& service) const {
+    return std::none_of(handovers_.begin(), handovers_.end(), [&](const auto& entry) {
+        return entry.second.service == service;
+    });
+}
+
+void cw_mover::start(const std::string& upstream, std::vector<cw_slice_move> moves,
+                     cw_time_point now) {
+    const auto* lease = leases_.lease(upstream);
+    if (lease == nullptr || handovers_.contains(upstream) || moves.empty() ||
+        !leases_.may_grant(upstream, now)) {
+        return;
+    }
+    handover current;
+    current.service = lease->service;
+    current.moves = std::move(moves);
+    current.give_up_at = now + 2 * context_.timings().lease;
+    begin(upstream, current, now);
+    handovers_.emplace(upstream, std::move(current));
+}
+
+void cw_mover::begin(const std::string& upstream, handover& current, cw_time_point now) {
+    const auto* stored = context_.table(current.service);
+    const auto* config = context_.service_config(current.service);
+    current.base_epoch = stored->table.epoch();
+    current.store_version = stored->store_version;
+    current.write.reset();
+    current.acked.clear();
+    current.free_at = now;
+    if (config != nullptr && !config->checks_fences) {
+        current.at = stage::holding;
+        current.nonce = context_.next_number();
+        current.next_hold = now;
+        collect_holds(upstream, current, now);
+        return;
+    }
+    revoke(upstream, current);
+}
+
+void cw_mover::collect_holds(const std::string& upstream, handover& current, cw_time_point now) {
+    const bool remind = now >= current.next_hold;
+    bool complete = true;
+    for (const auto& member : membership_.ring()->members) {
+        if (member == context_.self() || current.acked.contains(member)) {
+            continue;
+        }
+        complete = false;
+        if (remind) {
+            context_.send(member.host, cw_hold_message{current.nonce, upstream, current.service,
+                                                       current.base_epoch});
+        }
+    }
+    if (remind) {
+        current.next_hold = now + context_.timings().probe;
+    }
+    const auto* lease = leases_.lease(upstream);
+    if (complete && now > current.free_at && now > membership_.settled_at() &&
+        now > lease->unanswered_until && lease->exchange == 0) {
+        revoke(upstream, current);
+    }
+}
+
+void cw_mover::revoke(const std::string& upstream, handover& current) {
+    const auto* stored = context_.table(current.service);
+    current.at = stage::revoking;
+    const auto after = stored->table.moved(current.moves, current.base_epoch + 1);
+    auto* lease = leases_.lease(upstream);
+    lease->override_grant = cw_grant_override{current.base_epoch + 1, after.owned_by(upstream)};
+    leases_.hurry(upstream);
+}
+
+void cw_mover::on_hold_ack(const cw_ring_member& from, const cw_hold_ack_message& ack,
+                           cw_time_point now) {
+    for (auto& [upstream, current] : handovers_) {
+        if (current.at == stage::holding && current.nonce == ack.nonce) {
+            current.acked.insert(from);
+            current.free_at = std::max(current.free_at, now + ack.remaining);
+            collect_holds(upstream, current, now);
+        }
+    }
+}
+
+void cw_mover::on_reply(const cw_lease_reply& reply, cw_time_point now) {
+    const auto found = handovers_.find(reply.upstream);
+    if (found == handovers_.end() || found->second.at != stage::revoking) {
+        return;
+    }
+    const auto* lease = leases_.lease(reply.upstream);
+    if (reply.outcome == cw_lease_outcome::accepted && lease->override_grant &&
+        reply.incarnation == lease->incarnation &&
+        reply.held_fence == lease->override_grant->fence) {
+        write_table(reply.upstream, found->second, now);
+    }
+}
+
+void cw_mover::write_table(const std::string& upstream, handover& current, cw_time_point now) {
+    const auto* stored = context_.table(current.service);
+    if (stored->store_version != current.store_version) {
+        return;
+    }
+    current.at = stage::writing;
+    auto next = stored->table.moved(current.moves, current.base_epoch + 1);
+    const auto writer = context_.next_writer();
+    next.set_writer(writer);
+    current.write = cw_write_command{cw_table_key(current.service), next.to_json(),
+                                     stored->store_version, writer};
+    current.resend_at = now + context_.timings().store_retry;
+    context_.note("slices-revoked", upstream, std::to_string(current.moves.size()) + " slices");
+    context_.emit(*current.write);
+}
+
+void cw_mover::abandon(const std::string& upstream, const handover& current) {
+    if (auto* lease = leases_.lease(upstream); lease != nullptr) {
+        lease->override_grant.reset();
+    }
+    if (current.nonce != 0) {
+        for (const auto& member : membership_.ring()->members) {
+            if (member != context_.self()) {
+                context_.send(member.host, cw_unhold_message{current.nonce, upstream});
+            }
+        }
+    }
+    leases_.hurry(upstream);
+}
+
+bool cw_mover::is_over(const std::string& upstream, handover& current, cw_time_point now) {
+    const auto* stored = context_.table(current.service);
+    if (stored->table.epoch() > current.base_epoch) {
+        const bool own = current.write && stored->table.writer() == current.write->writer;
+        leases_.lease(upstream)->override_grant.reset();
+        const bool still_owns =
+            std::any_of(current.moves.begin(), current.moves.end(), [&](const auto& move) {
+                return stored->table.slice_of(move.first).owner == upstream;
+            });
+        if (own || !still_owns || now >= current.give_up_at) {
+            context_.note(still_owns ? "move-dropped" : "slices-moved", upstream,
+                          std::to_string(current.moves.size()) + " slices, epoch " +
+                              std::to_string(stored->table.epoch()));
+            leases_.hurry(upstream);
+            return true;
+        }
+        begin(upstream, current, now);
+        return false;
+    }
+    // Once the write may have been taken, only a later table tells how it ended.
+    if (!current.write && (now >= current.give_up_at || leases_.is_suspect(upstream, now))) {
+        abandon(upstream, current);
+        return true;
+    }
+    return false;
+}
+
+void cw_mover::on_tick(cw_time_point now) {
+    for (auto place = handovers_.begin(); place != handovers_.end();) {
+        auto& [upstream, current] = *place;
+        if (is_over(upstream, current, now)) {
+            place = handovers_.erase(place);
+            continue;
+        }
+        if (current.at == stage::holding) {
+            collect_holds(upstream, current, now);
+        }
+        if (current.write && now >= current.resend_at) {
+            current.resend_at = now + context_.timings().store_retry;
+            context_.emit(*current.write);
+        }
+        ++place;
+    }
+}
+
+void cw_mover::on_write(const cw_write_event& event) {
+    for (auto& [upstream, current] : handovers_) {
+        if (current.write && current.write->writer == event.writer &&
+            event.outcome != cw_write_outcome::unknown) {
+            context_.emit(cw_read_command{cw_table_key(current.service)});
+        }
+    }
+}
--- /dev/null
+++ b/Source/cw_peer_codec.cpp
@@ -0,0 +1,100 @@
+#include "cw_peer_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using nlohmann::json;
+
+template <typename Variant, typename T, std::size_t I = 0>
+constexpr std::size_t index_of() {
+    if constexpr (std::is_same_v<std::variant_alternative_t<I, Variant>, T>) {
+        return I;
+    } else {
+        return index_of<Variant, T, I + 1>();
+    }
+}
+
+template <typename T>
+constexpr auto kind_of = index_of<cw_peer_body, T>();
+
+struct body_writer {
+    json operator()(const cw_ask_message& body) const {
+        return {body.sequence, body.domain, body.ring_epoch};
+    }
+    json operator()(const cw_promise_message& body) const { return json::array({body.sequence}); }
+    json operator()(const cw_hold_message& body) const {
+        return {body.nonce, body.upstream, body.service, body.base_epoch};
+    }
+    json operator()(const cw_hold_ack_message& body) const {
+        return {body.nonce, body.remaining.count()};
+    }
+    json operator()(const cw_unhold_message& body) const { return {body.nonce, body.upstream}; }
+    json operator()(const cw_reachable_message& body) const { return json::array({body.upstream}); }
+    json operator()(const cw_leave_message& /*body*/) const { return json::array(); }
+    json operator()(const cw_load_message& body) const {
+        auto rates = json::array();
+        for (const auto& [first, rate] : body.rates) {
+            rates.push_back(first);
+            rates.push_back(static_cast<float>(rate));
+        }
+        return {body.service, rates, body.unreachable};
+    }
+};
+
+cw_load_message read_load(const json& body) {
+    cw_load_message load;
+    load.service = body.at(0).get<std::string>();
+    const auto& rates = body.at(1);
+    for (std::size_t i = 0; i + 1 < rates.size(); i += 2) {
+        load.rates[rates.at(i).get<std::uint64_t>()] = rates.at(i + 1).get<double>();
+    }
+    load.unreachable = body.at(2).get<std::vector<std::string>>();
+    return load;
+}
+
+cw_peer_body read_body(std::size_t kind, const json& body) {
+    switch (kind) {
+    case kind_of<cw_ask_message>:
+        return cw_ask_message{body.at(0).get<std::uint64_t>(), body.at(1).get<std::string>(),
+                              body.at(2).get<std::uint64_t>()};
+    case kind_of<cw_promise_message>:
+        return cw_promise_message{body.at(0).get<std::uint64_t>()};
+    case kind_of<cw_hold_message>:
+        return cw_hold_message{body.at(0).get<std::uint64_t>(), body.at(1).get<std::string>(),
+                               body.at(2).get<std::string>(), body.at(3).get<std::uint64_t>()};
+    case kind_of<cw_hold_ack_message>:
+        return cw_hold_ack_message{body.at(0).get<std::uint64_t>(),
+                                   std::chrono::milliseconds{body.at(1).get<std::int64_t>()}};
+    case kind_of<cw_unhold_message>:
+        return cw_unhold_message{body.at(0).get<std::uint64_t>(), body.at(1).get<std::string>()};
+    case kind_of<cw_reachable_message>:
+        return cw_reachable_message{body.at(0).get<std::string>()};
+    case kind_of<cw_leave_message>:
+        return cw_leave_message{};
+    default:
+        return read_load(body);
+    }
+}
+
+} // namespace
+
+std::vector<std::uint8_t> cw_encode_peer_message(const cw_peer_message& message) {
+    return json::to_msgpack({message.from.host, message.from.incarnation, message.body.index(),
+                             std::visit(body_writer{}, message.body)});
+}
+
+cw_result<cw_peer_message> cw_decode_peer_message(std::span<const std::uint8_t> data) {
+    const auto parsed = json::from_msgpack(data, true, false);
+    try {
+        const auto kind = parsed.at(2).get<std::size_t>();
+        if (kind >= std::variant_size_v<cw_peer_body>) {
+            return tl::unexpected(cw_error{"decode message", "", "unknown kind"});
+        }
+        return cw_peer_message{
+            {parsed.at(0).get<std::string>(), parsed.at(1).get<std::uint64_t>()},
+            read_body(kind, parsed.at(3))};
+    } catch (const json::exception& failure) {
+        return tl::unexpected(cw_error{"decode message", "", failure.what()});
+    }
+}
--- /dev/null
+++ b/Source/cw_peer_codec.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "cw_error.h"
+#include "cw_peer_message.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+/// MessagePack form of messages between keepers; one message is one datagram.
+[[nodiscard]] std::vector<std::uint8_t> cw_encode_peer_message(const cw_peer_message& message);
+
+/// Reads one datagram; anything malformed is an error and changes nothing.
+[[nodiscard]] cw_result<cw_peer_message> cw_decode_peer_message(std::span<const std::uint8_t> data);
--- /dev/null
+++ b/Source/cw_peer_message.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "cw_ring_member.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages between keepers. Each may be lost, repeated, delayed or reordered.
+
+/// Asks the receiver to promise that it will not supersede the sender for one tenure.
+struct cw_ask_message {
+    std::uint64_t sequence = 0;
+    std::string domain;
+    /// Epoch of the domain's ring record that the sender works by.
+    std::uint64_t ring_epoch = 0;
+};
+
+/// Grants the promise asked for; the tenure counts from the moment the ask was sent.
+struct cw_promise_message {
+    std::uint64_t sequence = 0;
+};
+
+/// Asks the receiver to grant nothing to an upstream until the table passes the base epoch.
+struct cw_hold_message {
+    std::uint64_t nonce = 0;
+    std::string upstream;
+    std::string service;
+    std::uint64_t base_epoch = 0;
+};
+
+/// Confirms a hold. Leases of the sender to the upstream end within `remaining` of the receipt.
+struct cw_hold_ack_message {
+    std::uint64_t nonce = 0;
+    std::chrono::milliseconds remaining{0};
+};
+
+/// Takes a hold back; its sender will not write a table on the strength of it.
+struct cw_unhold_message {
+    std::uint64_t nonce = 0;
+    std::string upstream;
+};
+
+/// Tells the holder that the sender can reach an upstream which the holder cannot.
+struct cw_reachable_message {
+    std::string upstream;
+};
+
+/// Gives up all rights of the sender for good.
+struct cw_leave_message {};
+
+/// Load seen by the routers of the sender's host, and upstreams it cannot reach.
+struct cw_load_message {
+    std::string service;
+    /// Requests per second by the first position of each slice.
+    std::map<std::uint64_t, double> rates;
+    std::vector<std::string> unreachable;
+};
+
+using cw_peer_body =
+    std::variant<cw_ask_message, cw_promise_message, cw_hold_message, cw_hold_ack_message,
+                 cw_unhold_message, cw_reachable_message, cw_leave_message, cw_load_message>;
+
+/// A message with its sender and the incarnation it is meant for.
+struct cw_peer_message {
+    cw_ring_member from;
+    cw_peer_body body;
+};
--- /dev/null
+++ b/Source/cw_ring.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cw_error.h"
+#include "cw_ring_member.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The keepers that may grant leases in one failure domain, as the store holds it.
+struct cw_ring {
+    std::string domain;
+    /// Count of changes of this record; rises by one with each write.
+    std::uint64_t epoch = 0;
+    /// Keepers of the domain, by host id.
+    std::vector<cw_ring_member> members;
+    /// Epoch at which each member joined, by host id.
+    std::map<std::string, std::uint64_t> since;
+    /// Keepers of another domain that may release this domain's services of the `release` policy.
+    std::vector<std::string> deputies;
+    /// Epoch at which the list of deputies last changed.
+    std::uint64_t deputies_since = 0;
+    /// Table epoch per released service; this domain may grant such a service only above it.
+    std::map<std::string, std::uint64_t> released;
+    /// Write that produced this value, so that a lost reply can be recognised.
+    std::string writer;
+
+    [[nodiscard]] bool has(const cw_ring_member& member) const;
+    /// Adds a member under the present epoch and drops any earlier incarnation of the same host.
+    void add(const cw_ring_member& member);
+    void remove(const cw_ring_member& member);
+    [[nodiscard]] std::string to_json() const;
+    [[nodiscard]] static cw_result<cw_ring> parse(std::string_view text);
+};
--- /dev/null
+++ b/Source/cw_tenure.cpp
@@ -0,0 +1,54 @@
+#include "cw_tenure.h"
+
+#include <algorithm>
+
+namespace {
+/// Outstanding asks remembered; older ones could only confirm a tenure that has ended.
+constexpr std::size_t most_asks = 256;
+} // namespace
+
+void cw_tenure::on_ask_sent(const std::string& peer, std::uint64_t sequence, cw_time_point now) {
+    asks_.insert_or_assign(sequence, ask{peer, now});
+    while (asks_.size() > most_asks) {
+        asks_.erase(asks_.begin());
+    }
+}
+
+void cw_tenure::on_promise(const std::string& peer, std::uint64_t sequence) {
+    const auto found = asks_.find(sequence);
+    if (found == asks_.end() || found->second.peer != peer) {
+        return;
+    }
+    const auto end = found->second.sent + length_;
+    auto& promised = promises_.try_emplace(peer, end).first->second;
+    promised = std::max(promised, end);
+    asks_.erase(found);
+}
+
+void cw_tenure::on_store_confirmation(cw_time_point sent) {
+    const auto end = sent + length_;
+    store_end_ = store_end_ ? std::max(*store_end_, end) : end;
+}
+
+void cw_tenure::on_removal() {
+    store_end_.reset();
+    promises_.clear();
+    asks_.clear();
+}
+
+std::optional<cw_time_point> cw_tenure::end(const std::vector<std::string>& peers) const {
+    if (peers.empty()) {
+        return std::nullopt;
+    }
+    auto least = cw_time_point::max();
+    for (const auto& peer : peers) {
+        const auto found = promises_.find(peer);
+        least = std::min(least, found == promises_.end() ? cw_time_point::min() : found->second);
+    }
+    return std::max(least, store_end_.value_or(cw_time_point::min()));
+}
+
+bool cw_tenure::holds(const std::vector<std::string>& peers, cw_time_point now) const {
+    const auto until = end(peers);
+    return !until || now < *until;
+}
--- /dev/null
+++ b/Source/cw_timeline_event.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+
+/// One point on the time line. The shell adds wall-clock time, host, failure domain and part.
+struct cw_timeline_event {
+    /// What happened, such as "slice-moved".
+    std::string what;
+    /// Service, upstream, slice or peer that it concerns.
+    std::string subject;
+    std::string detail;
+};
--- /dev/null
+++ b/Source/cw_timings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+/// Intervals and bounds of the ownership protocol. docs/OWNERSHIP.md derives them from the one-second budget.
+struct cw_timings {
+    /// Interval between two lease renewals of one upstream.
+    std::chrono::milliseconds renewal{180};
+    /// Length of a lease, counted from the granter's decision.
+    std::chrono::milliseconds lease{450};
+    /// Length of a tenure, counted from the moment its confirmation was asked for.
+    std::chrono::milliseconds tenure{200};
+    /// Interval between two requests for a promise to the same peer.
+    std::chrono::milliseconds ask{65};
+    /// Silence after which an upstream or a peer is suspected.
+    std::chrono::milliseconds suspicion{180};
+    /// Interval between two attempts to reach a suspected upstream.
+    std::chrono::milliseconds probe{50};
+    /// Silence after which a peer is removed from the ring.
+    std::chrono::milliseconds removal{1500};
+    /// Time a keeper waits before it repeats a store operation without a reply.
+    std::chrono::milliseconds store_retry{100};
+    /// Allowance for the difference of two clocks' rates over one lease.
+    std::chrono::milliseconds drift{5};
+    /// Time a host must be missing from the platform's list before it counts as gone.
+    std::chrono::milliseconds host_absence{10'000};
+
+    /// Time after a ring change until every lease granted by a removed member has ended.
+    [[nodiscard]] std::chrono::milliseconds settle() const { return tenure + lease + 2 * drift; }
+};
--- /dev/null
+++ b/Source/cw_upstream_place.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+/// Where an upstream is found.
+struct cw_upstream_place {
+    std::string id;
+    /// Failure domain of the upstream.
+    std::string domain;
+    /// "IP:port" of its HTTP interface.
+    std::string address;
+
+    friend bool operator==(const cw_upstream_place&, const cw_upstream_place&) = default;
+};
--- /dev/null
+++ b/Standins/cw_lease_holder.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cw_lease_grant.h"
+#include "cw_lease_reply.h"
+#include "cw_slice.h"
+#include "cw_time.h"
+
+#include <cstdint>
+#include <vector>
+
+/// The upstream's side of the lease protocol: what docs/UPSTREAMS.md asks of a server that holds keys.
+class cw_lease_holder {
+public:
+    cw_lease_holder(std::uint64_t incarnation, bool checks_fences)
+        : incarnation_{incarnation}, checks_fences_{checks_fences} {}
+
+    /// Takes, renews or refuses a lease. `now` is a reading of the clock that deadlines refer to.
+    [[nodiscard]] cw_lease_reply on_grant(const cw_lease_grant& grant, cw_upstream_time now);
+    void set_draining(bool draining) { draining_ = draining; }
+
+    [[nodiscard]] bool is_leased(cw_upstream_time now) const { return now < deadline_; }
+    [[nodiscard]] cw_upstream_time deadline() const { return deadline_; }
+    [[nodiscard]] std::uint64_t fence() const { return fence_; }
+    [[nodiscard]] const std::vector<cw_slice>& slices() const { return slices_; }
+    /// The slice that holds the hash, or null when this server does not hold it.
+    [[nodiscard]] const cw_slice* find(std::uint64_t hash) const;
+
+private:
+    [[nodiscard]] cw_lease_outcome take(const cw_lease_grant& grant);
+
+    std::uint64_t incarnation_;
+    bool checks_fences_;
+    bool draining_ = false;
+    std::uint64_t fence_ = 0;
+    cw_upstream_time deadline_ = cw_upstream_time::min();
+    std::vector<cw_slice> slices_;
+};
--- /dev/null
+++ b/Tests/Ownership/cw_ownership_test.cpp
@@ -0,0 +1,117 @@
+#include "cw_ownership_bench.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two domains with three keepers and three upstreams each, settled.
+struct settled_estate {
+    explicit settled_estate(cw_ownership_bench::options chosen = {}) : bench{chosen} {
+        bench.run(3s);
+        REQUIRE(bench.unowned() == 0);
+        bench.reset_gaps();
+    }
+
+    cw_ownership_bench bench;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(settled_estate, "estate_undisturbed_keeps_every_position_owned") {
+    bench.run(10s);
+    CHECK(bench.longest_gap() <= 10ms);
+    CHECK(bench.two_owner_moments() == 0);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "upstream_killed_is_replaced_within_a_second") {
+    bench.kill("d0u1");
+    bench.run(3s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 1s);
+    CHECK(bench.two_owner_moments() == 0);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "upstream_frozen_returns_without_second_owner") {
+    bench.freeze("d0u1", 4s);
+    bench.run(8s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 1s);
+    CHECK(bench.two_owner_moments() == 0);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "keeper_killed_takes_no_key_away") {
+    bench.kill("d0k1");
+    bench.run(4s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 1s);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "keeper_stopped_takes_no_key_away") {
+    bench.stop_keeper("d0k0");
+    bench.run(4s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 10ms);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "store_down_for_a_minute_takes_no_key_away") {
+    bench.set_store_up(false);
+    bench.run(60s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 10ms);
+    bench.set_store_up(true);
+    bench.run(3s);
+    CHECK(bench.unowned() == 0);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "upstream_draining_hands_over_within_a_tenth_of_a_second") {
+    bench.drain("d0u0");
+    bench.run(2s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 100ms);
+    CHECK_FALSE(bench.stored_table()->owns_slices("d0u0"));
+    CHECK(bench.two_owner_moments() == 0);
+}
+
+TEST_CASE("unchecking_upstream_draining_hands_over_within_a_tenth_of_a_second") {
+    settled_estate estate{{.checks_fences = false}};
+    estate.bench.drain("d0u0");
+    estate.bench.run(3s);
+    CHECK(estate.bench.unowned() == 0);
+    CHECK(estate.bench.longest_gap() <= 100ms);
+    CHECK_FALSE(estate.bench.stored_table()->owns_slices("d0u0"));
+    CHECK(estate.bench.two_owner_moments() == 0);
+}
+
+TEST_CASE("domain_cut_off_under_hold_keeps_its_keys") {
+    settled_estate estate{{.cut_off = cw_cut_off_policy::hold}};
+    estate.bench.cut_both("d0", "*");
+    estate.bench.run(10s);
+    CHECK(estate.bench.unowned() == 0);
+    CHECK(estate.bench.two_owner_moments() == 0);
+}
+
+TEST_CASE("domain_cut_off_under_release_is_taken_over_within_a_second") {
+    settled_estate estate{{.cut_off = cw_cut_off_policy::release}};
+    estate.bench.cut("d0", "*");
+    estate.bench.cut("*", "d0");
+    estate.bench.run(5s);
+    CHECK(estate.bench.unowned() == 0);
+    CHECK(estate.bench.longest_gap() <= 1s);
+    CHECK(estate.bench.two_owner_moments() == 0);
+    estate.bench.heal();
+    estate.bench.run(5s);
+    CHECK(estate.bench.unowned() == 0);
+    CHECK(estate.bench.two_owner_moments() == 0);
+}
+
+TEST_CASE_FIXTURE(settled_estate, "upstream_added_receives_at_most_its_fair_share") {
+    bench.add_upstream("d1u9", "d1");
+    bench.run(20s);
+    const auto owned = bench.stored_table()->owned_by("d1u9").size();
+    CHECK(owned >= 1);
+    CHECK(owned <= 4);
+    CHECK(bench.longest_gap() <= 100ms);
+    CHECK(bench.two_owner_moments() == 0);
+}
--- /dev/null
+++ b/Tests/Ownership/cw_random_schedule.cpp
@@ -0,0 +1,147 @@
+#include "cw_random_schedule.h"
+
+#include "cw_ownership_bench.h"
+
+#include <algorithm>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t most_actions = 10;
+constexpr auto settle_time = 3s;
+constexpr auto recovery_time = 16s;
+
+cw_ownership_bench::options choose_options(std::uint64_t seed) {
+    std::mt19937_64 engine{seed * 7919};
+    cw_ownership_bench::options chosen;
+    chosen.seed = seed;
+    chosen.domains = 2;
+    chosen.keepers = 1 + engine() % 3;
+    chosen.upstreams = 2 + engine() % 2;
+    chosen.checks_fences = engine() % 3 != 0;
+    chosen.cut_off = engine() % 2 == 0 ? cw_cut_off_policy::hold : cw_cut_off_policy::release;
+    chosen.drop = engine() % 2 == 0 ? 0.0 : 0.05;
+    chosen.repeat = engine() % 2 == 0 ? 0.0 : 0.1;
+    chosen.lost_reply = engine() % 2 == 0 ? 0.0 : 0.2;
+    return chosen;
+}
+
+/// Draws faults and applies them to the bench.
+class fault_source {
+public:
+    fault_source(cw_ownership_bench& bench, std::uint64_t seed) : bench_{bench}, engine_{seed} {}
+
+    void apply_one(std::vector<std::string>& actions) {
+        const auto kind = engine_() % 12;
+        const auto keeper = pick(bench_.keeper_names());
+        const auto upstream = pick(bench_.upstream_names());
+        const auto length = std::chrono::milliseconds{50 + engine_() % 3000};
+        const auto text = [&](const std::string& what) {
+            actions.push_back(std::to_string(bench_.now().time_since_epoch() / 1ms - 3'600'000) +
+                              " " + what);
+        };
+        switch (kind) {
+        case 0:
+            bench_.kill(keeper);
+            text("kill " + keeper);
+            break;
+        case 1:
+            bench_.restart(keeper);
+            text("restart " + keeper);
+            break;
+        case 2:
+            bench_.freeze(keeper, length);
+            text("freeze " + keeper + " " + std::to_string(length.count()));
+            break;
+        case 3:
+            bench_.kill(upstream);
+            text("kill " + upstream);
+            break;
+        case 4:
+            bench_.restart(upstream);
+            text("restart " + upstream);
+            break;
+        case 5:
+            bench_.freeze(upstream, length);
+            text("freeze " + upstream + " " + std::to_string(length.count()));
+            break;
+        case 6:
+            cut_some(text);
+            break;
+        case 7:
+            bench_.heal();
+            text("heal");
+            break;
+        case 8:
+            bench_.set_store_up(engine_() % 2 == 0);
+            text("store switched");
+            break;
+        case 9:
+            bench_.set_lag(std::chrono::milliseconds{engine_() % 400});
+            text("store slow");
+            break;
+        case 10:
+            bench_.drain(upstream);
+            text("drain " + upstream);
+            break;
+        default:
+            bench_.stop_keeper(keeper);
+            text("stop " + keeper);
+            break;
+        }
+    }
+
+    std::chrono::milliseconds pause() { return std::chrono::milliseconds{engine_() % 900}; }
+
+private:
+    template <typename Note>
+    void cut_some(const Note& text) {
+        std::vector<std::string> ends = bench_.keeper_names();
+        ends.insert(ends.end(), {"d0", "d1", "store", "*"});
+        const auto upstreams = bench_.upstream_names();
+        ends.insert(ends.end(), upstreams.begin(), upstreams.end());
+        const auto from = pick(ends);
+        const auto to = pick(ends);
+        if (engine_() % 2 == 0) {
+            bench_.cut(from, to);
+            text("cut " + from + " to " + to);
+        } else {
+            bench_.cut_both(from, to);
+            text("cut both " + from + " " + to);
+        }
+    }
+
+    std::string pick(const std::vector<std::string>& names) {
+        return names[engine_() % names.size()];
+    }
+
+    cw_ownership_bench& bench_;
+    std::mt19937_64 engine_;
+};
+
+} // namespace
+
+cw_schedule_verdict cw_run_random_schedule(std::uint64_t seed) {
+    cw_schedule_verdict verdict;
+    cw_ownership_bench bench{choose_options(seed)};
+    fault_source faults{bench, seed};
+    bench.run(settle_time);
+    for (std::size_t i = 0; i < most_actions; ++i) {
+        faults.apply_one(verdict.actions);
+        bench.run(faults.pause());
+    }
+    bench.heal();
+    bench.set_store_up(true);
+    bench.set_lag(0ms);
+    for (const auto& keeper : bench.keeper_names()) {
+        bench.restart(keeper);
+    }
+    bench.add_upstream("d0u8", "d0");
+    bench.add_upstream("d1u8", "d1");
+    bench.run(recovery_time);
+    verdict.two_owner_moments = bench.two_owner_moments();
+    verdict.unowned = bench.unowned();
+    verdict.timeline = bench.timeline();
+    return verdict;
+}
