--- /dev/null
+++ b/Source/cuminwinch_keeper.cpp
@@ -0,0 +1,126 @@
+/// cuminwinch-keeper: membership, leases and ownership tables of one failure domain's entry host.
+
+#include "cw_keeper_io.h"
+#include "cw_kernel.h"
+#include "cw_rpc_server.h"
+#include "cw_settings.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace {
+
+std::optional<std::string> contradiction(const cw_settings& settings) {
+    const cw_timings usual;
+    const auto lease = settings.milliseconds("lease-ms");
+    const auto least_lease = 2 * settings.milliseconds("renewal-ms") + usual.suspicion / 2;
+    if (lease < least_lease) {
+        return "--lease-ms is " + std::to_string(lease.count()) +
+               "; with this --renewal-ms it must be at least " + std::to_string(least_lease.count());
+    }
+    const auto tenure = settings.milliseconds("tenure-ms");
+    const auto least_tenure = 3 * usual.ask;
+    if (tenure < least_tenure) {
+        return "--tenure-ms is " + std::to_string(tenure.count()) + "; it must be at least " +
+               std::to_string(least_tenure.count());
+    }
+    return std::nullopt;
+}
+
+void declare(cw_settings& settings) {
+    const cw_timings usual;
+    settings.add_text("host", "Id of this entry host in the platform's host list");
+    settings.add_text("domain", "Failure domain of this host");
+    settings.add_address("listen", "IP:PORT for HTTP (TCP) and for other keepers (UDP)");
+    settings.add_number("rpc-port", "TCP port of the JSON-RPC interface", 1, 65'535, 7'800);
+    settings.add_address("platform", "IP:PORT of the platform's store and host list");
+    settings.add_number("renewal-ms", "Interval between lease renewals", 20, 10'000,
+                        usual.renewal.count());
+    settings.add_number("lease-ms", "Length of a lease", 50, 60'000, usual.lease.count());
+    settings.add_number("tenure-ms", "Length of a tenure", 50, 60'000, usual.tenure.count());
+    settings.add_choice("log-level", "Least level that is logged",
+                        {"debug", "info", "warning", "error"}, "info");
+    settings.add_rule(contradiction);
+}
+
+cw_keeper_options options_from(const cw_settings& settings) {
+    cw_keeper_options options;
+    options.host = settings.text("host");
+    options.domain = settings.text("domain");
+    options.listen = *cw_address::parse(settings.text("listen"));
+    options.rpc_port = static_cast<std::uint16_t>(settings.number("rpc-port"));
+    options.platform = settings.text("platform");
+    options.timings.renewal = settings.milliseconds("renewal-ms");
+    options.timings.lease = settings.milliseconds("lease-ms");
+    options.timings.tenure = settings.milliseconds("tenure-ms");
+    return options;
+}
+
+/// Microseconds since the epoch: later runs on one host get higher numbers.
+std::uint64_t new_incarnation() {
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+}
+
+std::string accept_report(cw_keeper_io& io, const std::string& text) {
+    const auto report = nlohmann::json::parse(text);
+    for (const auto& [service, rates] : report.at("loads").items()) {
+        cw_router_load_event load;
+        load.service = service;
+        for (const auto& item : rates) {
+            load.rates[item.at(0).get<std::uint64_t>()] = item.at(1).get<double>();
+        }
+        io.deliver(std::move(load));
+    }
+    for (const auto& event : report.at("events")) {
+        io.timeline().add_foreign(event);
+    }
+    return "{}";
+}
+
+void run(const cw_keeper_options& options) {
+    boost::asio::io_context context{1};
+    cw_kernel kernel;
+    cw_keeper_io io{context, kernel, options, new_incarnation()};
+    io.start();
+    const cw_rpc_server rpc{
+        options.rpc_port,
+        {{"status", [&](const std::string&) { return io.status(); }},
+         {"timeline",
+          [&](const std::string&) {
+              return nlohmann::json{{"events", io.timeline().after(0)}}.dump();
+          }},
+         {"report", [&](const std::string& report) { return accept_report(io, report); }}}};
+    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&](const boost::system::error_code& failure, int) {
+        if (!failure) {
+            io.begin_stop();
+        }
+    });
+    context.run();
+    kernel.stop();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cw_settings settings{"cuminwinch-keeper", "Keeps membership, leases and ownership tables."};
+    declare(settings);
+    if (const auto code = settings.parse(argc, argv)) {
+        return *code;
+    }
+    const auto options = options_from(settings);
+    cw_log::set_up(cw_log::parse_level(settings.text("log-level")));
+    try {
+        run(options);
+    } catch (const std::exception& failure) {
+        std::cerr << "cuminwinch-keeper: start: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/Source/cw_attempt.cpp
@@ -0,0 +1,20 @@
+#include "cw_attempt.h"
+
+bool cw_surely_did_not_run(cw_attempt_result result) {
+    return result == cw_attempt_result::not_connected ||
+           result == cw_attempt_result::refused_not_owner ||
+           result == cw_attempt_result::refused_busy;
+}
+
+cw_next_step cw_decide_next(cw_attempt_result result, const cw_attempt_state& state) {
+    if (result == cw_attempt_result::answered) {
+        return cw_next_step::pass_on;
+    }
+    const bool did_not_run = cw_surely_did_not_run(result);
+    const bool may_retry = state.attempts < cw_most_attempts && state.budget_left && state.time_left;
+    const bool harmless = did_not_run || (state.idempotent && result != cw_attempt_result::timed_out);
+    if (harmless && may_retry) {
+        return cw_next_step::retry_elsewhere;
+    }
+    return did_not_run ? cw_next_step::refuse : cw_next_step::report_unknown;
+}
--- /dev/null
+++ b/Source/cw_attempt.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+
+/// How one attempt to have a request run by an upstream ended.
+enum class cw_attempt_result {
+    /// A whole answer arrived.
+    answered,
+    /// No connection was made, so nothing was sent.
+    not_connected,
+    /// The upstream refused by its word: it does not own the key or holds a newer fence.
+    refused_not_owner,
+    /// The upstream refused by its word: all slots are taken, or it is draining.
+    refused_busy,
+    /// The connection ended after something was sent and before the whole answer.
+    connection_lost,
+    /// The deadline passed after something was sent.
+    timed_out,
+    /// The answer cannot be read as HTTP or lacks a part.
+    malformed
+};
+
+/// What the router does after an attempt.
+enum class cw_next_step {
+    pass_on,
+    /// Look the owner up again, waiting a little for a newer table, and try there.
+    retry_elsewhere,
+    /// Answer that the request did not run, and when to come back.
+    refuse,
+    /// Answer that the request may have run.
+    report_unknown
+};
+
+/// What is known of a request when an attempt has ended.
+struct cw_attempt_state {
+    /// True when the request may be sent again although it may have run.
+    bool idempotent = false;
+    std::uint32_t attempts = 1;
+    /// True when the retry budget has a token left.
+    bool budget_left = true;
+    /// True when the caller's deadline leaves time for another attempt.
+    bool time_left = true;
+};
+
+/// Attempts per request, the first included.
+inline constexpr std::uint32_t cw_most_attempts = 3;
+
+/// Only what surely did not run, or may run twice, is tried again.
+[[nodiscard]] cw_next_step cw_decide_next(cw_attempt_result result, const cw_attempt_state& state);
+
+/// True when the request surely did not run.
+[[nodiscard]] bool cw_surely_did_not_run(cw_attempt_result result);
--- /dev/null
+++ b/Source/cw_config_source.cpp
@@ -0,0 +1,41 @@
+#include "cw_config_source.h"
+
+#include "cw_config_parser.h"
+#include "cw_store_client.h"
+#include "cw_store_key.h"
+
+cw_result<cw_loaded_config> cw_assemble_config(std::vector<cw_config_file> files,
+                                               std::uint64_t version) {
+    auto parsed = cw_config_parser::parse(files);
+    if (!parsed) {
+        return tl::unexpected(cw_error{"parse config", "version " + std::to_string(version),
+                                       parsed.error().front().line_text()});
+    }
+    auto config = std::make_shared<cw_config>(std::move(*parsed));
+    config->version = version;
+    return cw_loaded_config{std::move(config), std::move(files)};
+}
+
+boost::asio::awaitable<cw_result<cw_loaded_config>>
+cw_config_source::load(cw_config_head head, cw_time_point deadline) {
+    std::map<std::string, std::string> kept;
+    std::vector<cw_config_file> files;
+    for (const auto& [name, digest] : head.parts) {
+        auto known = parts_.find(digest);
+        if (known == parts_.end()) {
+            const auto value = co_await store_.read(cw_config_part_key(digest), deadline);
+            if (!value) {
+                co_return tl::unexpected(value.error());
+            }
+            if (cw_config_digest(value->value) != digest) {
+                co_return tl::unexpected(
+                    cw_error{"load config", "store", "part " + name + " does not match its digest"});
+            }
+            known = parts_.emplace(digest, value->value).first;
+        }
+        kept[digest] = known->second;
+        files.push_back({name, known->second});
+    }
+    parts_ = std::move(kept);
+    co_return cw_assemble_config(std::move(files), head.version);
+}
--- /dev/null
+++ b/Source/cw_config_source.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cw_config.h"
+#include "cw_config_file.h"
+#include "cw_config_head.h"
+#include "cw_time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+class cw_store_client;
+
+/// A whole configuration with the files it came from.
+struct cw_loaded_config {
+    std::shared_ptr<const cw_config> config;
+    std::vector<cw_config_file> files;
+};
+
+/// Loads whole configurations from the store. Parts already held are not read again.
+class cw_config_source {
+public:
+    explicit cw_config_source(cw_store_client& store) : store_{store} {}
+
+    /// All of the version that the head names, or an error; never a part of it.
+    boost::asio::awaitable<cw_result<cw_loaded_config>> load(cw_config_head head,
+                                                             cw_time_point deadline);
+
+private:
+    cw_store_client& store_;
+    std::map<std::string, std::string> parts_;
+};
+
+/// Parses the files as one configuration of the given version.
+[[nodiscard]] cw_result<cw_loaded_config> cw_assemble_config(std::vector<cw_config_file> files,
+                                                             std::uint64_t version);
--- /dev/null
+++ b/Source/cw_http_client.cpp
@@ -0,0 +1,92 @@
+#include "cw_http_client.h"
+
+#include "cw_address.h"
+#include "cw_async.h"
+
+
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+constexpr std::uint64_t largest_body = 4'000'000;
+constexpr std::size_t most_idle = 4;
+
+tl::unexpected<cw_error> failed(const char* step, const std::string& peer,
+                                const boost::system::error_code& failure) {
+    return tl::unexpected(cw_error{step, peer, failure.message()});
+}
+} // namespace
+
+std::unique_ptr<cw_http_client::stream>
+cw_http_client::idle_connection(const std::string& address) {
+    auto& pool = idle_[address];
+    if (pool.empty()) {
+        return nullptr;
+    }
+    auto connection = std::move(pool.back());
+    pool.pop_back();
+    return connection;
+}
+
+net::awaitable<cw_result<cw_http_response>>
+cw_http_client::request(std::string address, cw_http_request message, cw_time_point deadline) {
+    const auto endpoint = cw_address::parse(address);
+    if (!endpoint) {
+        co_return tl::unexpected(cw_error{"connect", address, "not an IP:port"});
+    }
+    message.prepare_payload();
+    auto connection = idle_connection(address);
+    if (connection) {
+        auto response = co_await try_once(*connection, address, message, deadline);
+        if (response) {
+            idle_[address].push_back(std::move(connection));
+            co_return response;
+        }
+        // An idle connection may have been closed by the peer; only a fresh one tells how it is.
+        connection.reset();
+        if (std::chrono::steady_clock::now() >= deadline) {
+            co_return response;
+        }
+    }
+    connection = std::make_unique<stream>(context_);
+    connection->expires_at(deadline);
+    boost::system::error_code failure;
+    co_await connection->async_connect(endpoint->tcp(),
+                                       cw_into(failure));
+    if (failure) {
+        co_return failed("connect", address, failure);
+    }
+    connection->socket().set_option(net::ip::tcp::no_delay{true}, failure);
+    auto response = co_await try_once(*connection, address, message, deadline);
+    if (response && response->keep_alive() && idle_[address].size() < most_idle) {
+        connection->expires_never();
+        idle_[address].push_back(std::move(connection));
+    }
+    co_return response;
+}
+
+net::awaitable<cw_result<cw_http_response>>
+cw_http_client::try_once(stream& connection, const std::string& address,
+                         const cw_http_request& message, cw_time_point deadline) {
+    boost::system::error_code failure;
+    connection.expires_at(deadline);
+    bytes_ += co_await http::async_write(connection, message, cw_into(failure));
+    if (failure) {
+        co_return failed("send", address, failure);
+    }
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_body);
+    bytes_ += co_await http::async_read(connection, buffer, parser, cw_into(failure));
+    if (failure) {
+        co_return failed("receive", address, failure);
+    }
+    connection.expires_never();
+    co_return parser.release();
+}
--- /dev/null
+++ b/Source/cw_http_client.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cw_error.h"
+#include "cw_http_message.h"
+#include "cw_time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// A pooled HTTP/1.1 client for control calls, which are all safe to repeat. Used from one thread.
+///
+/// A connection that saw a timeout or an error is closed, so a late answer meets no later request.
+class cw_http_client {
+public:
+    explicit cw_http_client(boost::asio::io_context& context) : context_{context} {}
+
+    /// The whole answer of the peer ("IP:port"), or the step that failed by the deadline.
+    boost::asio::awaitable<cw_result<cw_http_response>>
+    request(std::string address, cw_http_request message, cw_time_point deadline);
+
+    /// Bytes written and read by all calls so far, headers included.
+    [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
+
+private:
+    using stream = boost::beast::tcp_stream;
+
+    boost::asio::awaitable<cw_result<cw_http_response>>
+    try_once(stream& connection, const std::string& address, const cw_http_request& message,
+             cw_time_point deadline);
+    std::unique_ptr<stream> idle_connection(const std::string& address);
+
+    boost::asio::io_context& context_;
+    std::map<std::string, std::vector<std::unique_ptr<stream>>> idle_;
+    std::uint64_t bytes_ = 0;
+};
--- /dev/null
+++ b/Source/cw_http_message.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Aliases for whole HTTP messages of the control interfaces, whose bodies are small.
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+using cw_http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using cw_http_response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// An answer with a status and a JSON or plain body.
+[[nodiscard]] cw_http_response cw_make_response(boost::beast::http::status status, std::string body,
+                                                const char* content_type = "application/json");
--- /dev/null
+++ b/Source/cw_keeper_io.cpp
@@ -0,0 +1,333 @@
+#include "cw_keeper_io.h"
+
+#include "cw_async.h"
+#include "cw_caf_messages.h"
+#include "cw_host_list.h"
+#include "cw_kernel.h"
+#include "cw_lease_codec.h"
+#include "cw_peer_codec.h"
+#include "cw_query.h"
+#include "cw_store_key.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/field.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/send.hpp>
+#include <nlohmann/json.hpp>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto grant_timeout = 300ms;
+constexpr auto store_timeout = 1s;
+constexpr auto config_timeout = 5s;
+constexpr auto watch_wait = 10s;
+constexpr auto retry_pause = 100ms;
+constexpr auto host_poll = 500ms;
+constexpr auto longest_wait = 20s;
+constexpr std::size_t largest_datagram = 65'000;
+
+auto now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+cw_keeper_io::cw_keeper_io(net::io_context& context, cw_kernel& kernel,
+                           const cw_keeper_options& options, std::uint64_t incarnation)
+    : context_{context}, kernel_{kernel}, options_{options}, incarnation_{incarnation},
+      timeline_{options.host, options.domain, "keeper"}, http_{context}, grants_{context},
+      store_{http_, options.platform}, config_source_{store_},
+      server_{context, options.listen,
+              [this](cw_http_request request) { return serve(std::move(request)); }},
+      peers_{context, options.listen.udp()}, published_{context} {}
+
+void cw_keeper_io::start() {
+    const auto io = kernel_.system().spawn([this](caf::event_based_actor*) -> caf::behavior {
+        return {[this](const cw_keeper_output_ptr& output) {
+            net::post(context_, [this, output] { apply(*output); });
+        }};
+    });
+    kernel_.add("io", io);
+    kernel_.add("control", cw_start_keeper_control(kernel_, options_, incarnation_));
+    server_.start();
+    net::co_spawn(context_, receive_peers(), net::detached);
+    net::co_spawn(context_, poll_hosts(), net::detached);
+    net::co_spawn(context_, watch_config(), net::detached);
+    timeline_.add({"started", options_.host, "incarnation " + std::to_string(incarnation_)},
+                  std::chrono::system_clock::now());
+}
+
+void cw_keeper_io::begin_stop() {
+    stopping_ = true;
+    deliver(cw_stop_event{});
+}
+
+std::string cw_keeper_io::status() const {
+    const std::scoped_lock lock{status_mutex_};
+    return status_;
+}
+
+void cw_keeper_io::deliver(cw_keeper_event event) {
+    caf::anon_send(kernel_.find("control"),
+                   cw_keeper_event_ptr{std::make_shared<const cw_keeper_event>(std::move(event))});
+}
+
+net::awaitable<void> cw_keeper_io::pause(std::chrono::milliseconds length) {
+    net::steady_timer timer{context_, length};
+    boost::system::error_code failure;
+    co_await timer.async_wait(cw_into(failure));
+}
+
+void cw_keeper_io::apply(const cw_keeper_output& output) {
+    for (const auto& command : output.commands) {
+        carry_out(command);
+    }
+    if (output.watched) {
+        for (const auto& key : *output.watched) {
+            if (watched_.insert(key).second) {
+                net::co_spawn(context_, watch(key), net::detached);
+            }
+        }
+    }
+    if (output.routes) {
+        tables_ = output.routes;
+        publish();
+    }
+    if (output.status) {
+        auto status = nlohmann::json::parse(*output.status);
+        status["control_bytes"] = peer_bytes_ + grants_.bytes();
+        status["store_bytes"] = http_.bytes();
+        const std::scoped_lock lock{status_mutex_};
+        status_ = status.dump();
+    }
+}
+
+void cw_keeper_io::publish() {
+    if (!tables_) {
+        return;
+    }
+    auto files = nlohmann::json::array();
+    for (const auto& file : files_) {
+        files.push_back({file.name, file.text});
+    }
+    auto state = nlohmann::json::parse(*tables_);
+    state["files"] = std::move(files);
+    state["config_version"] = config_version_;
+    state["run"] = incarnation_;
+    state["revision"] = ++revision_;
+    routes_ = state.dump();
+    published_.cancel();
+}
+
+void cw_keeper_io::carry_out(const cw_keeper_command& command) {
+    if (const auto* peer = std::get_if<cw_send_peer_command>(&command)) {
+        send_peer(*peer);
+    } else if (const auto* grant = std::get_if<cw_send_grant_command>(&command)) {
+        net::co_spawn(context_, send_grant(grant->grant), net::detached);
+    } else if (const auto* change = std::get_if<cw_write_command>(&command)) {
+        net::co_spawn(context_, write(*change), net::detached);
+    } else if (const auto* query = std::get_if<cw_read_command>(&command)) {
+        net::co_spawn(context_, read(query->key), net::detached);
+    } else if (const auto* event = std::get_if<cw_timeline_event>(&command)) {
+        timeline_.add(*event, std::chrono::system_clock::now());
+    } else if (std::holds_alternative<cw_stopped_command>(command)) {
+        log_.info("All rights are given up.");
+        context_.stop();
+    }
+}
+
+void cw_keeper_io::send_peer(const cw_send_peer_command& command) {
+    const auto known = addresses_.find(command.to);
+    const auto address =
+        known == addresses_.end() ? std::nullopt : cw_address::parse(known->second);
+    if (!address) {
+        return;
+    }
+    const auto datagram = cw_encode_peer_message({{options_.host, incarnation_}, command.body});
+    boost::system::error_code ignored;
+    peers_.send_to(net::buffer(datagram), address->udp(), 0, ignored);
+    peer_bytes_ += datagram.size();
+}
+
+net::awaitable<void> cw_keeper_io::send_grant(cw_lease_grant grant) {
+    cw_http_request request{http::verb::post, "/lease", 11};
+    request.set(http::field::host, grant.address);
+    request.body() = cw_encode_grant(grant);
+    const auto response =
+        co_await grants_.request(grant.address, std::move(request), now() + grant_timeout);
+    cw_lease_reply reply;
+    if (response && response->result() == http::status::ok) {
+        reply = cw_decode_reply(response->body()).value_or(reply);
+    }
+    reply.upstream = grant.upstream;
+    reply.exchange = grant.exchange;
+    deliver(reply);
+}
+
+net::awaitable<void> cw_keeper_io::write(cw_write_command command) {
+    const auto outcome = co_await store_.write(command.key, command.value,
+                                               command.expected_version, now() + store_timeout);
+    deliver(cw_write_event{command.key, command.writer, outcome});
+}
+
+net::awaitable<void> cw_keeper_io::read(std::string key) {
+    const auto sent = now();
+    const auto value = co_await store_.read(key, sent + store_timeout);
+    if (value) {
+        report(key, *value, sent);
+    }
+}
+
+void cw_keeper_io::report(const std::string& key, const cw_store_value& value, cw_time_point sent) {
+    if (key.starts_with("ring/")) {
+        cw_ring empty;
+        empty.domain = key.substr(std::string_view{"ring/"}.size());
+        const auto ring = value.version == 0 ? cw_result<cw_ring>{empty} : cw_ring::parse(value.value);
+        if (ring) {
+            deliver(cw_ring_event{*ring, value.version, sent});
+        } else {
+            log_.error("Ring record is unreadable.", {{"error", ring.error().text()}});
+        }
+    } else if (value.version != 0) {
+        const auto table = cw_slice_table::parse(value.value);
+        if (table) {
+            deliver(cw_table_event{*table, value.version});
+        } else {
+            log_.error("Slice table is unreadable.", {{"error", table.error().text()}});
+        }
+    }
+}
+
+net::awaitable<void> cw_keeper_io::watch(std::string key) {
+    std::uint64_t known = 0;
+    while (!stopping_) {
+        const auto value = co_await store_.watch(key, known, watch_wait);
+        if (value && value->version > known) {
+            known = value->version;
+            report(key, *value, cw_time_point::min());
+        } else if (!value) {
+            co_await pause(retry_pause);
+        }
+    }
+}
+
+net::awaitable<void> cw_keeper_io::watch_config() {
+    std::uint64_t known = 0;
+    while (!stopping_) {
+        const auto value =
+            co_await store_.watch(std::string{cw_config_head_key}, known, watch_wait);
+        if (!value) {
+            co_await pause(retry_pause);
+            continue;
+        }
+        if (value->version <= known) {
+            continue;
+        }
+        const auto head = cw_config_head::parse(value->value);
+        if (!head || head->version <= config_version_) {
+            known = value->version;
+            continue;
+        }
+        const auto loaded = co_await config_source_.load(*head, now() + config_timeout);
+        if (!loaded) {
+            log_.warning("Configuration is not loaded.", {{"error", loaded.error().text()}});
+            co_await pause(retry_pause);
+            continue;
+        }
+        known = value->version;
+        config_version_ = head->version;
+        files_ = loaded->files;
+        deliver(cw_config_event{loaded->config});
+        publish();
+    }
+}
+
+net::awaitable<void> cw_keeper_io::poll_hosts() {
+    std::string last;
+    while (!stopping_) {
+        const auto text = co_await store_.hosts(now() + store_timeout);
+        if (text && *text != last) {
+            const auto hosts = cw_parse_host_list(*text);
+            if (hosts) {
+                last = *text;
+                for (const auto& host : *hosts) {
+                    if (host.kind == cw_host_kind::entry) {
+                        addresses_[host.id] = host.address;
+                    }
+                }
+                deliver(cw_hosts_event{*hosts});
+            } else {
+                log_.error("Host list is unreadable.", {{"error", hosts.error().text()}});
+            }
+        }
+        co_await pause(host_poll);
+    }
+}
+
+net::awaitable<void> cw_keeper_io::receive_peers() {
+    std::vector<std::uint8_t> buffer(largest_datagram);
+    net::ip::udp::endpoint sender;
+    while (!stopping_) {
+        boost::system::error_code failure;
+        const auto size =
+            co_await peers_.async_receive_from(net::buffer(buffer), sender, cw_into(failure));
+        if (failure) {
+            continue;
+        }
+        auto message = cw_decode_peer_message({buffer.data(), size});
+        if (message) {
+            deliver(std::move(*message));
+        } else {
+            log_.warning("Peer message is malformed.", {{"error", message.error().text()}});
+        }
+    }
+}
+
+net::awaitable<cw_http_response> cw_keeper_io::serve_routes(std::string target) {
+    const auto run = cw_query_number(target, "run", 0);
+    const auto known = cw_query_number(target, "revision", 0);
+    const std::chrono::milliseconds wait{cw_query_number(target, "wait_ms", 0)};
+    const auto until = now() + std::min<std::chrono::milliseconds>(wait, longest_wait);
+    while ((routes_.empty() || (run == incarnation_ && known == revision_)) && now() < until) {
+        // The timer is shared: publishing cancels it, which wakes all who wait.
+        published_.expires_at(until);
+        boost::system::error_code failure;
+        co_await published_.async_wait(cw_into(failure));
+    }
+    if (routes_.empty()) {
+        co_return cw_make_response(http::status::service_unavailable, "{}");
+    }
+    if (run == incarnation_ && known == revision_) {
+        co_return cw_make_response(http::status::no_content, "");
+    }
+    co_return cw_make_response(http::status::ok, routes_);
+}
+
+net::awaitable<cw_http_response> cw_keeper_io::serve(cw_http_request request) {
+    const std::string target{request.target()};
+    const auto path = cw_path_of(target);
+    if (path == "/v1/routes") {
+        co_return co_await serve_routes(target);
+    }
+    if (path == "/v1/status") {
+        co_return cw_make_response(http::status::ok, status());
+    }
+    if (path == "/v1/timeline") {
+        co_return cw_make_response(http::status::ok,
+                                   timeline_.after(cw_query_number(target, "after", 0)).dump());
+    }
+    if (path == "/healthz") {
+        co_return cw_make_response(http::status::ok, "ok\n", "text/plain");
+    }
+    if (path == "/readyz") {
+        const bool ready = !stopping_ && config_version_ != 0;
+        co_return cw_make_response(ready ? http::status::ok : http::status::service_unavailable,
+                                   ready ? "ready\n" : "not ready\n", "text/plain");
+    }
+    co_return cw_make_response(http::status::not_found, "no such page\n", "text/plain");
+}
--- /dev/null
+++ b/Source/cw_keeper_io.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "cw_config_source.h"
+#include "cw_http_client.h"
+#include "cw_http_server.h"
+#include "cw_keeper_control.h"
+#include "cw_keeper_event.h"
+#include "cw_keeper_options.h"
+#include "cw_log.h"
+#include "cw_store_client.h"
+#include "cw_timeline.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+class cw_kernel;
+
+/// The keeper's I/O service: carries out commands of the control service and reports what happens.
+class cw_keeper_io {
+public:
+    cw_keeper_io(boost::asio::io_context& context, cw_kernel& kernel,
+                 const cw_keeper_options& options, std::uint64_t incarnation);
+
+    /// Registers the service named "io" and begins to listen, watch and poll.
+    void start();
+    /// Asks the control service to give up all rights; the io_context stops once it has.
+    void begin_stop();
+
+    /// Status for operators as JSON; safe to call from any thread.
+    [[nodiscard]] std::string status() const;
+    [[nodiscard]] cw_timeline& timeline() { return timeline_; }
+    void deliver(cw_keeper_event event);
+
+private:
+    void apply(const cw_keeper_output& output);
+    void carry_out(const cw_keeper_command& command);
+    void send_peer(const cw_send_peer_command& command);
+    boost::asio::awaitable<void> send_grant(cw_lease_grant grant);
+    boost::asio::awaitable<void> write(cw_write_command command);
+    boost::asio::awaitable<void> read(std::string key);
+    boost::asio::awaitable<void> watch(std::string key);
+    boost::asio::awaitable<void> watch_config();
+    boost::asio::awaitable<void> poll_hosts();
+    boost::asio::awaitable<void> receive_peers();
+    boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
+    boost::asio::awaitable<cw_http_response> serve_routes(std::string target);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
+    void report(const std::string& key, const cw_store_value& value, cw_time_point sent);
+    void publish();
+
+    boost::asio::io_context& context_;
+    cw_kernel& kernel_;
+    cw_keeper_options options_;
+    std::uint64_t incarnation_;
+    cw_log log_{"keeper"};
+    cw_timeline timeline_;
+    cw_http_client http_;
+    cw_http_client grants_;
+    cw_store_client store_;
+    cw_config_source config_source_;
+    cw_http_server server_;
+    boost::asio::ip::udp::socket peers_;
+    boost::asio::steady_timer published_;
+    std::map<std::string, std::string> addresses_;
+    std::set<std::string> watched_;
+    std::shared_ptr<const std::string> tables_;
+    std::vector<cw_config_file> files_;
+    std::uint64_t config_version_ = 0;
+    std::string routes_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t peer_bytes_ = 0;
+    mutable std::mutex status_mutex_;
+    std::string status_ = "{}";
+    bool stopping_ = false;
+};
--- /dev/null
+++ b/Source/cw_keeper_options.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "cw_address.h"
+#include "cw_timings.h"
+
+#include <cstdint>
+#include <string>
+
+/// Settings of one keeper process, checked.
+struct cw_keeper_options {
+    std::string host;
+    std::string domain;
+    /// HTTP and peer messages; the port serves TCP and UDP.
+    cw_address listen;
+    std::uint16_t rpc_port = 0;
+    /// "IP:port" of the platform's store and host list.
+    std::string platform;
+    cw_timings timings;
+};
--- /dev/null
+++ b/Source/cw_log.cpp
@@ -0,0 +1,85 @@
+#include "cw_log.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace {
+
+bool needs_quotes(const std::string& value) {
+    return value.empty() || value.find_first_of(" \"=\n") != std::string::npos;
+}
+
+void append_value(std::string& text, const std::string& value) {
+    if (!needs_quotes(value)) {
+        text += value;
+        return;
+    }
+    text += '"';
+    for (const char letter : value) {
+        if (letter == '\n') {
+            text += "\\n";
+            continue;
+        }
+        if (letter == '"' || letter == '\\') {
+            text += '\\';
+        }
+        text += letter;
+    }
+    text += '"';
+}
+
+} // namespace
+
+void cw_log::set_up(cw_log_level least) {
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::Filename, "/dev/null");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    settings.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+    const auto show = [&](el::Level level, bool shown) {
+        settings.set(level, el::ConfigurationType::Enabled, shown ? "true" : "false");
+    };
+    show(el::Level::Debug, least <= cw_log_level::debug);
+    show(el::Level::Info, least <= cw_log_level::info);
+    show(el::Level::Warning, least <= cw_log_level::warning);
+    el::Loggers::reconfigureLogger("default", settings);
+}
+
+cw_log_level cw_log::parse_level(std::string_view word) {
+    if (word == "debug") {
+        return cw_log_level::debug;
+    }
+    if (word == "warning") {
+        return cw_log_level::warning;
+    }
+    return word == "error" ? cw_log_level::error : cw_log_level::info;
+}
+
+std::string cw_log::line(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
+    std::string text = "[" + part_ + "] " + std::string{sentence};
+    for (const auto& [name, value] : fields) {
+        text += ' ';
+        text += name;
+        text += '=';
+        append_value(text, value);
+    }
+    return text;
+}
+
+void cw_log::debug(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
+    LOG(DEBUG) << line(sentence, fields);
+}
+
+void cw_log::info(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
+    LOG(INFO) << line(sentence, fields);
+}
+
+void cw_log::warning(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
+    LOG(WARNING) << line(sentence, fields);
+}
+
+void cw_log::error(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
+    LOG(ERROR) << line(sentence, fields);
+}
--- /dev/null
+++ b/Source/cw_route_view.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "cw_config.h"
+#include "cw_error.h"
+#include "cw_host.h"
+#include "cw_slice_table.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Where one request goes.
+struct cw_route {
+    const cw_service_config* service = nullptr;
+    std::string_view key;
+    std::uint64_t hash = 0;
+    /// Null for services without keys.
+    const cw_slice* slice = nullptr;
+    /// "IP:port" of the owner; empty for services without keys.
+    std::string address;
+};
+
+/// Configuration, tables and hosts as one keeper stated them at one moment. Never changed in place.
+class cw_route_view {
+public:
+    /// Reads the keeper's JSON form.
+    [[nodiscard]] static cw_result<std::shared_ptr<const cw_route_view>>
+    parse(std::string_view text, const cw_route_view* previous);
+
+    [[nodiscard]] std::uint64_t run() const { return run_; }
+    [[nodiscard]] std::uint64_t revision() const { return revision_; }
+    [[nodiscard]] const cw_config& config() const { return *config_; }
+    [[nodiscard]] const std::map<std::string, cw_slice_table>& tables() const { return tables_; }
+
+    /// The route of a path. The step that failed is named when there is no service or no table.
+    [[nodiscard]] cw_result<cw_route> find(std::string_view path) const;
+    /// Upstreams of a service without keys that are not leaving, those of the domain first.
+    [[nodiscard]] std::vector<std::string> pool(std::string_view service,
+                                                std::string_view domain) const;
+
+private:
+    std::uint64_t run_ = 0;
+    std::uint64_t revision_ = 0;
+    std::shared_ptr<const cw_config> config_;
+    std::map<std::string, cw_slice_table> tables_;
+    std::vector<cw_host> hosts_;
+};
--- /dev/null
+++ b/Source/cw_router.cpp
@@ -0,0 +1,149 @@
+#include "cw_router.h"
+
+#include "cw_async.h"
+#include "cw_query.h"
+#include "cw_router_services.h"
+#include "cw_traffic_thread.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/field.hpp>
+#include <caf/send.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+using namespace std::chrono_literals;
+constexpr auto route_wait = 5s;
+constexpr auto route_grace = 500ms;
+constexpr auto retry_pause = 100ms;
+constexpr auto drain_poll = 5ms;
+/// Quiet time after which no caller is about to send on a kept connection.
+constexpr auto quiet_time = 200ms;
+} // namespace
+
+cw_router::cw_router(cw_router_options options)
+    : options_{std::move(options)}, shared_{options_.host, options_.domain},
+      admin_{context_, options_.admin,
+             [this](cw_http_request request) { return serve_admin(std::move(request)); }},
+      http_{context_} {
+    for (std::uint32_t i = 0; i < options_.threads; ++i) {
+        threads_.push_back(std::make_unique<cw_traffic_thread>(shared_, options_.listen));
+    }
+}
+
+cw_router::~cw_router() = default;
+
+void cw_router::run() {
+    cw_start_router_control(kernel_, shared_);
+    std::vector<cw_traffic_context*> traffic;
+    for (auto& thread : threads_) {
+        traffic.push_back(&thread->traffic());
+        thread->start();
+    }
+    cw_start_router_report(kernel_, shared_, options_, traffic);
+    admin_.start();
+    net::co_spawn(context_, follow_keeper(), net::detached);
+    net::signal_set signals{context_, SIGTERM, SIGINT};
+    signals.async_wait([this](const boost::system::error_code& failure, int) {
+        if (!failure) {
+            net::co_spawn(context_, stop_in_order(), net::detached);
+        }
+    });
+    shared_.timeline().add({"started", options_.host, ""}, std::chrono::system_clock::now());
+    context_.run();
+    kernel_.stop();
+    for (auto& thread : threads_) {
+        thread->stop();
+    }
+    log_.info("Stopped.", {{"requests_cut", std::to_string(shared_.open_requests.load())}});
+}
+
+net::awaitable<void> cw_router::pause(std::chrono::milliseconds length) {
+    net::steady_timer timer{context_, length};
+    boost::system::error_code failure;
+    co_await timer.async_wait(cw_into(failure));
+}
+
+net::awaitable<void> cw_router::follow_keeper() {
+    std::size_t chosen = 0;
+    std::uint64_t run = 0;
+    std::uint64_t revision = 0;
+    while (true) {
+        const auto& keeper = options_.keepers.at(chosen);
+        const auto target = "/v1/routes?run=" + std::to_string(run) + "&revision=" +
+                            std::to_string(revision) + "&wait_ms=" +
+                            std::to_string(std::chrono::milliseconds{route_wait}.count());
+        cw_http_request request{http::verb::get, target, 11};
+        request.set(http::field::host, keeper);
+        const auto deadline = std::chrono::steady_clock::now() + route_wait + route_grace;
+        const auto response = co_await http_.request(keeper, std::move(request), deadline);
+        if (response && response->result() == http::status::ok) {
+            const auto state = nlohmann::json::parse(response->body(), nullptr, false);
+            run = state.value("run", std::uint64_t{0});
+            revision = state.value("revision", std::uint64_t{0});
+            caf::anon_send(kernel_.find("control"), response->body());
+            continue;
+        }
+        if (response && response->result() == http::status::no_content) {
+            continue;
+        }
+        chosen = (chosen + 1) % options_.keepers.size();
+        co_await pause(retry_pause);
+    }
+}
+
+net::awaitable<void> cw_router::stop_in_order() {
+    ready_ = false;
+    shared_.timeline().add({"stopping", options_.host, "no longer ready"},
+                           std::chrono::system_clock::now());
+    co_await pause(options_.notice);
+    shared_.set_stopping();
+    for (auto& thread : threads_) {
+        thread->stop_accepting();
+    }
+    const auto until = std::chrono::steady_clock::now() + options_.drain;
+    auto quiet_since = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < until) {
+        if (shared_.open_requests.load() != 0) {
+            quiet_since = std::chrono::steady_clock::now();
+        } else if (std::chrono::steady_clock::now() > quiet_since + quiet_time) {
+            break;
+        }
+        co_await pause(drain_poll);
+    }
+    context_.stop();
+}
+
+std::string cw_router::metrics() const {
+    std::string text;
+    for (std::size_t i = 0; i < threads_.size(); ++i) {
+        text += threads_[i]->traffic().metrics.exposition(i);
+    }
+    const auto view = shared_.view();
+    text += "cuminwinch_open_requests " + std::to_string(shared_.open_requests.load()) + "\n";
+    text += "cuminwinch_config_version " +
+            std::to_string(view == nullptr ? 0 : view->config().version) + "\n";
+    return text;
+}
+
+net::awaitable<cw_http_response> cw_router::serve_admin(cw_http_request request) {
+    const auto path = cw_path_of({request.target().data(), request.target().size()});
+    if (path == "/healthz") {
+        co_return cw_make_response(http::status::ok, "ok\n", "text/plain");
+    }
+    if (path == "/readyz") {
+        const bool ready = ready_ && shared_.view() != nullptr;
+        co_return cw_make_response(ready ? http::status::ok : http::status::service_unavailable,
+                                   ready ? "ready\n" : "not ready\n", "text/plain");
+    }
+    if (path == "/metrics") {
+        co_return cw_make_response(http::status::ok, metrics(), "text/plain; version=0.0.4");
+    }
+    co_return cw_make_response(http::status::not_found, "no such page\n", "text/plain");
+}
--- /dev/null
+++ b/Source/cw_router_metrics.cpp
@@ -0,0 +1,59 @@
+#include "cw_router_metrics.h"
+
+#include <sstream>
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+constexpr std::array<double, 3> quantiles{0.5, 0.99, 0.999};
+constexpr std::array<const char*, 3> outcome_names{"answered", "did_not_run", "unknown"};
+} // namespace
+
+cw_router_metrics::cw_router_metrics()
+    : latencies_{accumulators::extended_p_square_probabilities = quantiles} {}
+
+void cw_router_metrics::on_answer(cw_outcome outcome, std::chrono::steady_clock::duration latency) {
+    const std::scoped_lock lock{mutex_};
+    latencies_(std::chrono::duration<double>(latency).count());
+    ++outcomes_.at(static_cast<std::size_t>(outcome));
+}
+
+void cw_router_metrics::on_retry() {
+    const std::scoped_lock lock{mutex_};
+    ++retries_;
+}
+
+void cw_router_metrics::on_slice(const std::string& service, std::uint64_t first) {
+    const std::scoped_lock lock{mutex_};
+    ++slices_[service][first];
+}
+
+std::map<std::string, std::map<std::uint64_t, double>> cw_router_metrics::take_slice_counts() {
+    std::map<std::string, std::map<std::uint64_t, double>> counts;
+    const std::scoped_lock lock{mutex_};
+    for (auto& [service, slices] : slices_) {
+        for (const auto& [first, count] : slices) {
+            counts[service][first] = static_cast<double>(count);
+        }
+        slices.clear();
+    }
+    return counts;
+}
+
+std::string cw_router_metrics::exposition(std::size_t thread) const {
+    const std::scoped_lock lock{mutex_};
+    std::ostringstream text;
+    for (std::size_t i = 0; i < outcomes_.size(); ++i) {
+        text << "cuminwinch_requests_total{thread=\"" << thread << "\",outcome=\""
+             << outcome_names.at(i) << "\"} " << outcomes_.at(i) << '\n';
+    }
+    text << "cuminwinch_retries_total{thread=\"" << thread << "\"} " << retries_ << '\n';
+    for (std::size_t i = 0; i < quantiles.size(); ++i) {
+        text << "cuminwinch_latency_seconds{thread=\"" << thread << "\",quantile=\""
+             << quantiles.at(i) << "\"} "
+             << accumulators::extended_p_square(latencies_)[static_cast<std::ptrdiff_t>(i)] << '\n';
+    }
+    text << "cuminwinch_latency_seconds_max{thread=\"" << thread << "\"} "
+         << (accumulators::count(latencies_) == 0 ? 0.0 : accumulators::max(latencies_)) << '\n';
+    return text.str();
+}
--- /dev/null
+++ b/Source/cw_router_metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+/// How a caller's request ended.
+enum class cw_outcome { answered, did_not_run, unknown };
+
+/// Counts and latencies of one traffic thread. Another thread may read them at any time.
+class cw_router_metrics {
+public:
+    cw_router_metrics();
+
+    void on_answer(cw_outcome outcome, std::chrono::steady_clock::duration latency);
+    void on_retry();
+    void on_slice(const std::string& service, std::uint64_t first);
+
+    /// Requests per slice since the last call, by service.
+    [[nodiscard]] std::map<std::string, std::map<std::uint64_t, double>> take_slice_counts();
+    /// Text exposition of the thread's figures.
+    [[nodiscard]] std::string exposition(std::size_t thread) const;
+
+private:
+    using latencies = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                           boost::accumulators::tag::mean,
+                                           boost::accumulators::tag::max,
+                                           boost::accumulators::tag::extended_p_square>>;
+
+    mutable std::mutex mutex_;
+    latencies latencies_;
+    std::array<std::uint64_t, 3> outcomes_{};
+    std::uint64_t retries_ = 0;
+    std::unordered_map<std::string, std::unordered_map<std::uint64_t, std::uint64_t>> slices_;
+};
--- /dev/null
+++ b/Source/cw_router_options.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "cw_address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Settings of one router process, checked.
+struct cw_router_options {
+    std::string host;
+    std::string domain;
+    /// Where callers connect.
+    cw_address listen;
+    /// Health, readiness and metrics.
+    cw_address admin;
+    /// HTTP addresses of keepers in order of preference; this host's own comes first.
+    std::vector<std::string> keepers;
+    /// "IP:port" of the own keeper's JSON-RPC interface.
+    std::string keeper_rpc;
+    std::uint32_t threads = 1;
+    /// Time between the loss of readiness and the end of accepting, for the balancer to notice.
+    std::chrono::milliseconds notice{};
+    /// Longest wait for requests in flight at stop.
+    std::chrono::milliseconds drain{};
+};
--- /dev/null
+++ b/Source/cw_rpc_server.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+/// A JSON-RPC 2.0 server over HTTP. This header names no type of the library behind it, which is built
+/// under an older language standard than the rest.
+class cw_rpc_server {
+public:
+    /// Takes the parameters and returns the result, both as JSON text. Called from the server's threads.
+    using method = std::function<std::string(const std::string&)>;
+
+    /// Throws std::runtime_error when the port is taken.
+    cw_rpc_server(int port, std::map<std::string, method> methods);
+    ~cw_rpc_server();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
--- /dev/null
+++ b/Source/cw_settings.cpp
@@ -0,0 +1,253 @@
+#include "cw_settings.h"
+
+#include "cw_address.h"
+#include "cw_version.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace {
+
+std::string variable_name(const std::string& setting) {
+    std::string name = "CUMINWINCH_" + setting;
+    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+        return letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+    });
+    return name;
+}
+
+std::string joined(const std::vector<std::string>& words) {
+    std::string text;
+    for (const auto& word : words) {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return text;
+}
+
+std::optional<std::int64_t> parse_number(const std::string& text) {
+    std::int64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    if (result.ec != std::errc{} || result.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+tl::unexpected<cw_error> mistake(const std::string& name, const std::string& reason) {
+    return tl::unexpected(cw_error{"settings", "", "--" + name + " (" + variable_name(name) + ") " + reason});
+}
+
+} // namespace
+
+struct cw_settings::definition {
+    enum class kind { text, address, number, choice, flag };
+
+    std::string name;
+    kind type = kind::text;
+    std::string help;
+    std::optional<std::string> fallback;
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+    std::vector<std::string> allowed;
+};
+
+cw_settings::cw_settings(std::string program, std::string purpose)
+    : program_{std::move(program)}, purpose_{std::move(purpose)} {}
+
+cw_settings::~cw_settings() = default;
+
+void cw_settings::add(const std::string& name, definition added) {
+    added.name = name;
+    definitions_.push_back(std::make_unique<definition>(std::move(added)));
+}
+
+void cw_settings::add_text(const std::string& name, const std::string& help,
+                           std::optional<std::string> fallback) {
+    add(name, {.name = name, .help = help, .fallback = std::move(fallback), .allowed = {}});
+}
+
+void cw_settings::add_address(const std::string& name, const std::string& help,
+                              std::optional<std::string> fallback) {
+    add(name, {.name = name,
+               .type = definition::kind::address,
+               .help = help,
+               .fallback = std::move(fallback),
+               .allowed = {}});
+}
+
+void cw_settings::add_number(const std::string& name, const std::string& help, std::int64_t least,
+                             std::int64_t most, std::int64_t fallback) {
+    add(name, {.name = name,
+               .type = definition::kind::number,
+               .help = help,
+               .fallback = std::to_string(fallback),
+               .least = least,
+               .most = most,
+               .allowed = {}});
+}
+
+void cw_settings::add_choice(const std::string& name, const std::string& help,
+                             std::vector<std::string> allowed, const std::string& fallback) {
+    add(name, {.name = name,
+               .type = definition::kind::choice,
+               .help = help,
+               .fallback = fallback,
+               .allowed = std::move(allowed)});
+}
+
+void cw_settings::add_flag(const std::string& name, const std::string& help) {
+    add(name, {.name = name,
+               .type = definition::kind::flag,
+               .help = help,
+               .fallback = "false",
+               .allowed = {"true", "false"}});
+}
+
+void cw_settings::add_rule(
+    std::function<std::optional<std::string>(const cw_settings&)> rule) {
+    rules_.push_back(std::move(rule));
+}
+
+void cw_settings::add_words(const std::string& help) {
+    takes_words_ = true;
+    words_help_ = help;
+}
+
+cw_result<void> cw_settings::check(const definition& setting, const std::string& value) const {
+    switch (setting.type) {
+    case definition::kind::text:
+        if (value.empty()) {
+            return mistake(setting.name, "is empty; give a text");
+        }
+        break;
+    case definition::kind::address:
+        if (!value.empty() && !cw_address::parse(value)) {
+            return mistake(setting.name, "is \"" + value + "\"; give IP:PORT, such as 127.0.0.1:8080");
+        }
+        break;
+    case definition::kind::number: {
+        const auto number = parse_number(value);
+        if (!number || *number < setting.least || *number > setting.most) {
+            return mistake(setting.name, "is \"" + value + "\"; allowed are " +
+                                             std::to_string(setting.least) + " to " +
+                                             std::to_string(setting.most));
+        }
+        break;
+    }
+    case definition::kind::choice:
+    case definition::kind::flag:
+        if (std::find(setting.allowed.begin(), setting.allowed.end(), value) ==
+            setting.allowed.end()) {
+            return mistake(setting.name,
+                           "is \"" + value + "\"; allowed are " + joined(setting.allowed));
+        }
+        break;
+    }
+    return {};
+}
+
+cw_result<void> cw_settings::read(int argc, const char* const* argv) {
+    cxxopts::Options options{program_, purpose_};
+    auto adder = options.add_options();
+    for (const auto& setting : definitions_) {
+        const auto text = setting->help + " [" + variable_name(setting->name) + "]" +
+                          (setting->fallback ? " (default: " + *setting->fallback + ")" : "");
+        if (setting->type == definition::kind::flag) {
+            adder(setting->name, text);
+        } else {
+            adder(setting->name, text, cxxopts::value<std::string>());
+        }
+    }
+    adder("h,help", "Show this help and end");
+    adder("version", "Show the version and end");
+    adder("check", "Check the settings and end");
+    if (takes_words_) {
+        adder("words", "", cxxopts::value<std::vector<std::string>>());
+        options.parse_positional({"words"});
+        options.positional_help(words_help_);
+    }
+    help_ = options.help();
+    try {
+        const auto parsed = options.parse(argc, argv);
+        for (const auto* name : {"help", "version", "check"}) {
+            if (parsed.count(name) != 0) {
+                values_[name] = "true";
+            }
+        }
+        if (takes_words_ && parsed.count("words") != 0) {
+            words_ = parsed["words"].as<std::vector<std::string>>();
+        } else if (!parsed.unmatched().empty()) {
+            return tl::unexpected(cw_error{
+                "settings", "", "unknown word \"" + parsed.unmatched().front() + "\"; see --help"});
+        }
+        if (values_.contains("help") || values_.contains("version")) {
+            return {};
+        }
+        for (const auto& setting : definitions_) {
+            const auto& name = setting->name;
+            const char* variable = std::getenv(variable_name(name).c_str());
+            if (parsed.count(name) > 1) {
+                return mistake(name, "is given more than once; give it once");
+            }
+            if (parsed.count(name) == 1) {
+                values_[name] = setting->type == definition::kind::flag
+                                    ? "true"
+                                    : parsed[name].as<std::string>();
+            } else if (variable != nullptr) {
+                values_[name] = variable;
+            } else if (setting->fallback) {
+                values_[name] = *setting->fallback;
+            } else {
+                return mistake(name, "is missing; it has no default");
+            }
+            if (const auto checked = check(*setting, values_[name]); !checked) {
+                return checked;
+            }
+        }
+        for (const auto& rule : rules_) {
+            if (const auto reason = rule(*this)) {
+                return tl::unexpected(cw_error{"settings", "", *reason});
+            }
+        }
+    } catch (const cxxopts::exceptions::exception& failure) {
+        return tl::unexpected(cw_error{"settings", "", std::string{failure.what()} + "; see --help"});
+    }
+    return {};
+}
+
+std::optional<int> cw_settings::parse(int argc, const char* const* argv) {
+    const auto done = read(argc, argv);
+    if (!done) {
+        std::cerr << program_ << ": " << done.error().text() << '\n';
+        return cw_exit_usage;
+    }
+    if (values_.contains("help")) {
+        std::cout << help_;
+        return EXIT_SUCCESS;
+    }
+    if (values_.contains("version")) {
+        std::cout << program_ << ' ' << cw_version << '\n';
+        return EXIT_SUCCESS;
+    }
+    if (values_.contains("check")) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    return std::nullopt;
+}
+
+const std::string& cw_settings::text(const std::string& name) const { return values_.at(name); }
+
+std::int64_t cw_settings::number(const std::string& name) const {
+    return parse_number(values_.at(name)).value_or(0);
+}
+
+std::chrono::milliseconds cw_settings::milliseconds(const std::string& name) const {
+    return std::chrono::milliseconds{number(name)};
+}
+
+bool cw_settings::flag(const std::string& name) const { return values_.at(name) == "true"; }
--- /dev/null
+++ b/Source/cw_timeline.cpp
@@ -0,0 +1,52 @@
+#include "cw_timeline.h"
+
+#include "cw_log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace {
+/// Events kept per process; the operators' client collects them long before they are displaced.
+constexpr std::size_t most_events = 4'000;
+} // namespace
+
+cw_timeline::cw_timeline(std::string host, std::string domain, std::string part)
+    : host_{std::move(host)}, domain_{std::move(domain)}, part_{std::move(part)} {}
+
+void cw_timeline::keep(std::string json) {
+    const std::scoped_lock lock{mutex_};
+    entries_.push_back({next_++, std::move(json)});
+    if (entries_.size() > most_events) {
+        entries_.pop_front();
+    }
+}
+
+void cw_timeline::add(const cw_timeline_event& event, std::chrono::system_clock::time_point at) {
+    const auto micros =
+        std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
+    const cw_log log{part_};
+    log.info(event.what + ".",
+             {{"host", host_}, {"subject", event.subject}, {"detail", event.detail}});
+    keep(nlohmann::json{{"time_us", micros},
+                        {"host", host_},
+                        {"domain", domain_},
+                        {"part", part_},
+                        {"what", event.what},
+                        {"subject", event.subject},
+                        {"detail", event.detail}}
+             .dump());
+}
+
+void cw_timeline::add_foreign(const nlohmann::json& event) { keep(event.dump()); }
+
+nlohmann::json cw_timeline::after(std::uint64_t sequence) const {
+    const std::scoped_lock lock{mutex_};
+    auto list = nlohmann::json::array();
+    for (const auto& item : entries_) {
+        if (item.sequence > sequence) {
+            auto event = nlohmann::json::parse(item.json);
+            event["sequence"] = item.sequence;
+            list.push_back(std::move(event));
+        }
+    }
+    return list;
+}
--- /dev/null
+++ b/Source/cw_timeline.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cw_timeline_event.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+/// The latest time line events of one process, in bounded memory, each also a log line.
+///
+/// Safe to call from any thread.
+class cw_timeline {
+public:
+    cw_timeline(std::string host, std::string domain, std::string part);
+
+    void add(const cw_timeline_event& event, std::chrono::system_clock::time_point at);
+    /// Events after the given sequence number, oldest first, as a JSON array.
+    [[nodiscard]] nlohmann::json after(std::uint64_t sequence) const;
+    /// Takes over an event that another process of this host reported.
+    void add_foreign(const nlohmann::json& event);
+
+private:
+    struct entry {
+        std::uint64_t sequence;
+        std::string json;
+    };
+
+    void keep(std::string json);
+
+    std::string host_;
+    std::string domain_;
+    std::string part_;
+    mutable std::mutex mutex_;
+    std::deque<entry> entries_;
+    std::uint64_t next_ = 1;
+};
--- /dev/null
+++ b/Source/cw_upstream_pool.cpp
@@ -0,0 +1,36 @@
+#include "cw_upstream_pool.h"
+
+#include <sys/socket.h>
+
+namespace {
+
+constexpr std::size_t most_idle = 128;
+
+bool is_usable(cw_upstream_pool::stream& connection) {
+    char byte = 0;
+    const auto handle = connection.socket().native_handle();
+    const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+std::unique_ptr<cw_upstream_pool::stream> cw_upstream_pool::take(const std::string& address) {
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (is_usable(*connection)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void cw_upstream_pool::put_back(const std::string& address, std::unique_ptr<stream> connection) {
+    auto& idle = idle_[address];
+    if (idle.size() < most_idle) {
+        connection->expires_never();
+        idle.push_back(std::move(connection));
+    }
+}
--- /dev/null
+++ b/Standins/cuminwinch_standin_upstream.cpp
@@ -0,0 +1,70 @@
+/// cuminwinch-standin-upstream: a fake of a server that holds keys, for tests and demonstrations.
+
+#include "cw_async.h"
+#include "cw_settings.h"
+#include "cw_upstream_standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+boost::asio::awaitable<void> drain(boost::asio::io_context& context, cw_upstream_standin& upstream) {
+    upstream.begin_drain();
+    boost::asio::steady_timer timer{context};
+    while (!upstream.is_drained()) {
+        timer.expires_after(10ms);
+        boost::system::error_code failure;
+        co_await timer.async_wait(cw_into(failure));
+    }
+    context.stop();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cw_settings settings{"cuminwinch-standin-upstream", "Plays a server that holds keys."};
+    settings.add_text("id", "Id in the platform's host list");
+    settings.add_address("listen", "IP:PORT of the HTTP interface");
+    settings.add_choice("keyed", "Whether keys have owners", {"true", "false"}, "true");
+    settings.add_choice("checks-fences", "Whether old fences are refused", {"true", "false"}, "true");
+    settings.add_number("slots", "Requests that run at once", 1, 10'000, 3);
+    settings.add_number("work-ms", "Time that one request runs", 0, 600'000, 2);
+    settings.add_number("cold-ms", "Time of slow running after the start", 0, 600'000, 0);
+    settings.add_text("crash-word", "A request whose path holds this word crashes", "(none)");
+    if (const auto code = settings.parse(argc, argv)) {
+        return *code;
+    }
+    cw_upstream_options options;
+    options.id = settings.text("id");
+    options.listen = *cw_address::parse(settings.text("listen"));
+    options.keyed = settings.text("keyed") == "true";
+    options.checks_fences = settings.text("checks-fences") == "true";
+    options.slots = static_cast<std::uint32_t>(settings.number("slots"));
+    options.work = settings.milliseconds("work-ms");
+    options.cold = settings.milliseconds("cold-ms");
+    options.crash_word = settings.text("crash-word") == "(none)" ? "" : settings.text("crash-word");
+    try {
+        boost::asio::io_context context{1};
+        cw_upstream_standin upstream{context, options};
+        upstream.start();
+        boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+        signals.async_wait([&](const boost::system::error_code& failure, int) {
+            if (!failure) {
+                boost::asio::co_spawn(context, drain(context, upstream), boost::asio::detached);
+            }
+        });
+        context.run();
+    } catch (const std::exception& failure) {
+        std::cerr << "cuminwinch-standin-upstream: start: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/Standins/cw_store_standin.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "cw_http_message.h"
+#include "cw_http_server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+/// A small fake of the platform: an object store with versions, conditional updates and watches, and a host
+/// list. Faults are switched on over HTTP. It keeps everything in memory.
+class cw_store_standin {
+public:
+    cw_store_standin(boost::asio::io_context& context, const cw_address& address);
+    void start() { server_.start(); }
+
+private:
+    struct value {
+        std::uint64_t version = 0;
+        std::string text;
+    };
+    /// Calls in the present second, against the platform's rates.
+    struct rate {
+        std::int64_t second = 0;
+        std::uint64_t calls = 0;
+        std::uint64_t total = 0;
+        std::uint64_t most_in_a_second = 0;
+    };
+
+    boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
+    boost::asio::awaitable<cw_http_response> serve_store(const cw_http_request& request);
+    boost::asio::awaitable<cw_http_response> read(std::string key, std::string target);
+    boost::asio::awaitable<cw_http_response> write(std::string key, cw_http_request request);
+    cw_http_response serve_hosts(const cw_http_request& request);
+    cw_http_response serve_control(const cw_http_request& request);
+    cw_http_response stats() const;
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds length);
+    /// Counts a call; false when the rate of this second is used up.
+    static bool admit(rate& counter, std::uint64_t limit);
+
+    boost::asio::io_context& context_;
+    cw_http_server server_;
+    boost::asio::steady_timer changed_;
+    std::map<std::string, value> values_;
+    nlohmann::json hosts_ = nlohmann::json::array();
+    bool up_ = true;
+    std::chrono::milliseconds delay_{0};
+    double lost_reply_share_ = 0.0;
+    std::uint64_t reads_per_second_ = 2'000;
+    std::uint64_t writes_per_second_ = 400;
+    rate reads_;
+    rate writes_;
+    std::uint64_t waiting_ = 0;
+    std::uint64_t most_waiting_ = 0;
+    std::minstd_rand engine_{1};
+};
--- a/Tests/Ownership/cw_ownership_bench.cpp
+++ b/Tests/Ownership/cw_ownership_bench.cpp
@@ -487,3 +487,20 @@
 std::uint64_t cw_ownership_bench::bytes_sent(const std::string& keeper) const {
     return keepers_.at(keeper).bytes;
 }
+
+std::vector<std::string> cw_ownership_bench::describe() const {
+    std::vector<std::string> lines;
+    const auto* table = stored_table();
+    for (const auto& [name, node] : upstreams_) {
+        const auto owned = table == nullptr ? 0 : table->owned_by(name).size();
+        lines.push_back(name + (node.alive ? " alive" : " dead") +
+                        (now_ < node.frozen_until ? " frozen" : "") +
+                        (node.holder->is_leased(local_time(node)) ? " leased" : " unleased") +
+                        (node.host.leaving ? " leaving" : "") + ", table gives " +
+                        std::to_string(owned) + ", holds " +
+                        std::to_string(node.holder->slices().size()) + " at fence " +
+                        std::to_string(node.holder->fence()) + " of " +
+                        std::to_string(table == nullptr ? 0 : table->fence_of(name)));
+    }
+    return lines;
+}
--- a/Tests/Ownership/cw_ownership_bench.h
+++ b/Tests/Ownership/cw_ownership_bench.h
@@ -46,6 +46,8 @@
     void heal();
     void set_store_up(bool up) { store_up_ = up; }
     void set_lag(std::chrono::milliseconds lag) { store_lag_ = lag; }
+    /// Ends the random loss of messages.
+    void set_loss_free() { options_.drop = 0.0; }
     void set_hosts_frozen(bool frozen) { hosts_frozen_ = frozen; }
 
     [[nodiscard]] std::vector<std::string> keeper_names() const;
@@ -54,6 +56,8 @@
     [[nodiscard]] std::vector<std::string> owners_of(std::uint64_t hash) const;
     /// Number of sample positions, of 64, that no upstream holds now.
     [[nodiscard]] std::size_t unowned() const;
+    /// One line per upstream: its state, its lease and the slices that the table gives it.
+    [[nodiscard]] std::vector<std::string> describe() const;
     [[nodiscard]] std::size_t two_owner_moments() const { return two_owners_; }
     /// Longest time for which one sample position was without an owner since the last reset.
     [[nodiscard]] std::chrono::milliseconds longest_gap() const;
--- a/Tests/Ownership/cw_random_schedule.cpp
+++ b/Tests/Ownership/cw_random_schedule.cpp
@@ -132,6 +132,7 @@
         bench.run(faults.pause());
     }
     bench.heal();
+    bench.set_loss_free();
     bench.set_store_up(true);
     bench.set_lag(0ms);
     for (const auto& keeper : bench.keeper_names()) {
@@ -143,5 +144,7 @@
     verdict.two_owner_moments = bench.two_owner_moments();
     verdict.unowned = bench.unowned();
     verdict.timeline = bench.timeline();
+    const auto state = bench.describe();
+    verdict.timeline.insert(verdict.timeline.end(), state.begin(), state.end());
     return verdict;
 }
