Serve one keyed request from caller to owner through every router

Cause: g++ 12 compiled the session loop, whose condition awaits and whose body is empty, into an illegal instruction; found with a debugger at the first request. Change: the awaited result is kept in a variable.

--- /dev/null
+++ b/Source/cw_client.cpp
@@ -0,0 +1,538 @@
+#include "cw_client.h"
+
+#include "cw_config_parser.h"
+#include "cw_host_list.h"
+#include "cw_http_client.h"
+#include "cw_key_hash.h"
+#include "cw_store_client.h"
+#include "cw_store_key.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/beast/http/field.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto call_timeout = 3s;
+constexpr auto status_timeout = 1s;
+constexpr auto wait_poll = 100ms;
+constexpr int write_tries = 5;
+constexpr std::size_t kept_history = 50;
+constexpr std::size_t largest_part = 1'000'000;
+
+auto deadline() { return std::chrono::steady_clock::now() + call_timeout; }
+
+/// Runs one coroutine to its end and returns its result.
+template <typename T>
+T run(net::io_context& context, net::awaitable<T> work) {
+    context.restart();
+    auto result = net::co_spawn(context, std::move(work), net::use_future);
+    context.run();
+    return result.get();
+}
+
+std::string time_text(std::chrono::system_clock::time_point at) {
+    const auto seconds = std::chrono::system_clock::to_time_t(at);
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
+                            at.time_since_epoch() % 1s)
+                            .count();
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::ostringstream text;
+    text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(6) << std::setfill('0')
+         << micros << 'Z';
+    return text.str();
+}
+
+std::string new_writer() {
+    std::random_device device;
+    return "client." + std::to_string(device()) + "." + std::to_string(device());
+}
+
+} // namespace
+
+void cw_client::print(const nlohmann::json& value, const std::string& text) const {
+    if (options_.json) {
+        std::cout << value.dump(2) << '\n';
+    } else {
+        std::cout << text;
+    }
+}
+
+cw_client_exit cw_client::fail(const cw_error& error) const {
+    std::cerr << "cuminwinch: " << error.text() << '\n';
+    return cw_client_exit::failed;
+}
+
+cw_result<std::vector<cw_config_file>> cw_client::read_folder(const std::string& folder) {
+    std::vector<cw_config_file> files;
+    std::error_code failure;
+    for (const auto& entry : std::filesystem::directory_iterator{folder, failure}) {
+        if (entry.path().extension() != ".toml") {
+            continue;
+        }
+        std::ifstream stream{entry.path(), std::ios::binary};
+        std::ostringstream text;
+        text << stream.rdbuf();
+        if (!stream) {
+            return tl::unexpected(cw_error{"read folder", entry.path().string(), "cannot be read"});
+        }
+        files.push_back({entry.path().filename().string(), text.str()});
+    }
+    if (failure) {
+        return tl::unexpected(cw_error{"read folder", folder, failure.message()});
+    }
+    if (files.empty()) {
+        return tl::unexpected(cw_error{"read folder", folder, "it holds no .toml file"});
+    }
+    std::sort(files.begin(), files.end(),
+              [](const auto& left, const auto& right) { return left.name < right.name; });
+    return files;
+}
+
+bool cw_client::check(const std::vector<cw_config_file>& files) {
+    const auto parsed = cw_config_parser::parse(files);
+    if (parsed) {
+        return true;
+    }
+    auto list = nlohmann::json::array();
+    std::string text;
+    for (const auto& issue : parsed.error()) {
+        list.push_back({{"file", issue.file}, {"line", issue.line}, {"text", issue.text}});
+        text += issue.line_text() + "\n";
+    }
+    print({{"valid", false}, {"issues", list}}, text);
+    return false;
+}
+
+cw_client_exit cw_client::validate(const std::string& folder) {
+    const auto files = read_folder(folder);
+    if (!files) {
+        return fail(files.error());
+    }
+    if (!check(*files)) {
+        return cw_client_exit::invalid;
+    }
+    print({{"valid", true}}, "the configuration is valid\n");
+    return cw_client_exit::done;
+}
+
+cw_result<std::string> cw_client::get(const std::string& address, const std::string& target) {
+    cw_http_client client{context_};
+    cw_http_request request{http::verb::get, target, 11};
+    request.set(http::field::host, address);
+    const auto response = run(context_, client.request(address, std::move(request),
+                                                       std::chrono::steady_clock::now() +
+                                                           status_timeout));
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->result() != http::status::ok) {
+        return tl::unexpected(
+            cw_error{"get " + target, address, "status " + std::to_string(response->result_int())});
+    }
+    return response->body();
+}
+
+cw_result<cw_client::stored_head> cw_client::read_head() {
+    cw_http_client client{context_};
+    cw_store_client store{client, options_.platform};
+    const auto value =
+        run(context_, store.read(std::string{cw_config_head_key}, deadline()));
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (value->version == 0) {
+        return stored_head{};
+    }
+    auto head = cw_config_head::parse(value->value);
+    if (!head) {
+        return tl::unexpected(head.error());
+    }
+    return stored_head{value->version, std::move(*head)};
+}
+
+cw_result<std::vector<cw_config_file>> cw_client::read_parts(const cw_config_head& head) {
+    cw_http_client client{context_};
+    cw_store_client store{client, options_.platform};
+    std::vector<cw_config_file> files;
+    for (const auto& [name, digest] : head.parts) {
+        auto value = run(context_, store.read(cw_config_part_key(digest), deadline()));
+        if (!value) {
+            return tl::unexpected(value.error());
+        }
+        files.push_back({name, std::move(value->value)});
+    }
+    return files;
+}
+
+cw_client_exit cw_client::plan(const std::string& folder) {
+    const auto files = read_folder(folder);
+    if (!files) {
+        return fail(files.error());
+    }
+    if (!check(*files)) {
+        return cw_client_exit::invalid;
+    }
+    const auto present = read_head();
+    if (!present) {
+        return fail(present.error());
+    }
+    auto changes = nlohmann::json::array();
+    std::string text;
+    auto gone = present->head.parts;
+    for (const auto& file : *files) {
+        const auto known = gone.find(file.name);
+        const char* change = known == gone.end()                                ? "add"
+                             : known->second != cw_config_digest(file.text) ? "change"
+                                                                              : nullptr;
+        gone.erase(file.name);
+        if (change != nullptr) {
+            changes.push_back({{"file", file.name}, {"change", change}});
+            text += std::string{change} + " " + file.name + "\n";
+        }
+    }
+    for (const auto& [name, digest] : gone) {
+        changes.push_back({{"file", name}, {"change", "remove"}});
+        text += "remove " + name + "\n";
+    }
+    // A configuration names no owner, so no version moves a key by itself; new services start empty.
+    text += changes.empty() ? "nothing changes\n" : "keys moved: 0\n";
+    print({{"base", present->head.version}, {"changes", changes}, {"keys_moved", 0}}, text);
+    return cw_client_exit::done;
+}
+
+cw_result<void> cw_client::write_parts(const std::vector<cw_config_file>& files) {
+    cw_http_client client{context_};
+    cw_store_client store{client, options_.platform};
+    for (const auto& file : files) {
+        const auto key = cw_config_part_key(cw_config_digest(file.text));
+        for (int tries = 0;; ++tries) {
+            const auto outcome = run(context_, store.write(key, file.text, 0, deadline()));
+            // A part is named by its content, so one that exists already is the same part.
+            if (outcome != cw_write_outcome::unknown) {
+                break;
+            }
+            if (tries + 1 == write_tries) {
+                return tl::unexpected(cw_error{"write part " + file.name, options_.platform,
+                                               "no reply; nothing is in force, so try again"});
+            }
+        }
+    }
+    return {};
+}
+
+cw_client_exit cw_client::apply(const std::string& folder) {
+    const auto files = read_folder(folder);
+    if (!files) {
+        return fail(files.error());
+    }
+    if (!check(*files)) {
+        return cw_client_exit::invalid;
+    }
+    for (const auto& file : *files) {
+        if (file.text.size() > largest_part) {
+            return fail({"apply", file.name, "larger than 1000000 bytes; split it"});
+        }
+    }
+    const auto present = read_head();
+    if (!present) {
+        return fail(present.error());
+    }
+    if (options_.base && *options_.base != present->head.version) {
+        std::cerr << "cuminwinch: apply: version " << present->head.version << " is in force, not "
+                  << *options_.base << "; look at it with `show` and try again\n";
+        return cw_client_exit::conflict;
+    }
+    cw_config_head next = present->head;
+    next.parts.clear();
+    for (const auto& file : *files) {
+        next.parts[file.name] = cw_config_digest(file.text);
+    }
+    if (next.parts == present->head.parts) {
+        print({{"version", present->head.version}, {"changed", false}},
+              "version " + std::to_string(present->head.version) + " holds this already\n");
+        return options_.wait ? wait_everywhere(present->head.version) : cw_client_exit::done;
+    }
+    if (const auto written = write_parts(*files); !written) {
+        return fail(written.error());
+    }
+    ++next.version;
+    next.writer = new_writer();
+    next.history.push_back({next.version, std::chrono::system_clock::now(), options_.author});
+    if (next.history.size() > kept_history) {
+        next.history.erase(next.history.begin());
+    }
+    return accept(*present, std::move(next));
+}
+
+cw_client_exit cw_client::accept(const stored_head& base, cw_config_head next) {
+    cw_http_client client{context_};
+    cw_store_client store{client, options_.platform};
+    bool accepted = false;
+    for (int tries = 0; tries < write_tries && !accepted; ++tries) {
+        const auto outcome = run(
+            context_, store.write(std::string{cw_config_head_key}, next.to_json(),
+                                  base.store_version, deadline()));
+        accepted = outcome == cw_write_outcome::done;
+        if (outcome != cw_write_outcome::conflict) {
+            continue;
+        }
+        // A reply may have been lost: the record then carries this writer's name.
+        const auto present = read_head();
+        if (!present) {
+            return fail(present.error());
+        }
+        accepted = present->head.writer == next.writer;
+        if (!accepted) {
+            std::cerr << "cuminwinch: apply: version " << present->head.version
+                      << " was accepted meanwhile, by "
+                      << (present->head.history.empty() ? "someone"
+                                                        : present->head.history.back().author)
+                      << "; nothing of yours is in force\n";
+            return cw_client_exit::conflict;
+        }
+    }
+    if (!accepted) {
+        return fail({"apply", options_.platform,
+                     "no reply; look with `history` whether version " +
+                         std::to_string(next.version) + " by you is there"});
+    }
+    print({{"version", next.version}, {"changed", true}},
+          "version " + std::to_string(next.version) + " is accepted\n");
+    return options_.wait ? wait_everywhere(next.version) : cw_client_exit::done;
+}
+
+cw_result<std::vector<cw_host>> cw_client::hosts() {
+    const auto text = get(options_.platform, "/hosts");
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return cw_parse_host_list(*text);
+}
+
+cw_result<std::vector<cw_client::host_status>> cw_client::host_statuses() {
+    const auto list = hosts();
+    if (!list) {
+        return tl::unexpected(list.error());
+    }
+    std::vector<host_status> statuses;
+    for (const auto& host : *list) {
+        if (host.kind != cw_host_kind::entry) {
+            continue;
+        }
+        const auto text = get(host.address, "/v1/status");
+        statuses.push_back({host.id, text ? nlohmann::json::parse(*text, nullptr, false)
+                                          : nlohmann::json{}});
+    }
+    return statuses;
+}
+
+cw_client_exit cw_client::wait_everywhere(std::uint64_t version) {
+    const auto started = std::chrono::steady_clock::now();
+    const auto until = started + options_.longest_wait;
+    std::size_t in_force = 0;
+    std::size_t reachable = 0;
+    while (std::chrono::steady_clock::now() < until) {
+        const auto statuses = host_statuses();
+        if (!statuses) {
+            return fail(statuses.error());
+        }
+        in_force = 0;
+        reachable = 0;
+        for (const auto& entry : *statuses) {
+            reachable += entry.status.is_object() ? 1 : 0;
+            const bool there = entry.status.is_object() &&
+                               entry.status.value("config_version", std::uint64_t{0}) >= version;
+            in_force += there ? 1 : 0;
+        }
+        if (reachable > 0 && in_force == reachable) {
+            const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - started);
+            print({{"version", version}, {"hosts", in_force}, {"wait_ms", took.count()}},
+                  "in force on all " + std::to_string(in_force) + " reachable hosts after " +
+                      std::to_string(took.count()) + " ms\n");
+            return cw_client_exit::done;
+        }
+        std::cerr << "waiting: in force on " << in_force << " of " << reachable << " hosts\n";
+        std::this_thread::sleep_for(wait_poll);
+    }
+    std::cerr << "cuminwinch: apply: version " << version << " is in force on " << in_force << " of "
+              << reachable << " reachable hosts; see `status`\n";
+    return cw_client_exit::not_everywhere;
+}
+
+cw_client_exit cw_client::status() {
+    const auto statuses = host_statuses();
+    if (!statuses) {
+        return fail(statuses.error());
+    }
+    auto list = nlohmann::json::array();
+    std::ostringstream text;
+    text << "host                 domain     config  member  may-grant  alive\n";
+    for (const auto& [host, status] : *statuses) {
+        if (!status.is_object()) {
+            list.push_back({{"host", host}, {"reachable", false}});
+            text << std::left << std::setw(20) << host << " does not answer\n";
+            continue;
+        }
+        list.push_back(status);
+        text << std::left << std::setw(20) << host << ' ' << std::setw(10)
+             << status.value("domain", "") << ' ' << std::setw(7)
+             << status.value("config_version", 0) << ' ' << std::setw(7)
+             << (status.value("member", false) ? "yes" : "no") << ' ' << std::setw(10)
+             << (status.value("may_grant", false) ? "yes" : "no") << ' '
+             << status.value("alive_members", nlohmann::json::array()).size() << '\n';
+    }
+    print(list, text.str());
+    return cw_client_exit::done;
+}
+
+cw_client_exit cw_client::history() {
+    const auto head = read_head();
+    if (!head) {
+        return fail(head.error());
+    }
+    auto list = nlohmann::json::array();
+    std::string text;
+    for (const auto& entry : head->head.history) {
+        const auto at = time_text(entry.accepted);
+        list.push_back({{"version", entry.version}, {"time", at}, {"author", entry.author}});
+        text += std::to_string(entry.version) + "  " + at + "  " + entry.author + "\n";
+    }
+    print(list, text.empty() ? "no configuration has been accepted\n" : text);
+    return cw_client_exit::done;
+}
+
+cw_client_exit cw_client::show() {
+    const auto head = read_head();
+    if (!head) {
+        return fail(head.error());
+    }
+    const auto files = read_parts(head->head);
+    if (!files) {
+        return fail(files.error());
+    }
+    auto list = nlohmann::json::object();
+    std::string text = "# version " + std::to_string(head->head.version) + "\n";
+    for (const auto& file : *files) {
+        list[file.name] = file.text;
+        text += "# file " + file.name + "\n" + file.text;
+    }
+    print({{"version", head->head.version}, {"files", list}}, text);
+    return cw_client_exit::done;
+}
+
+cw_result<cw_slice_table> cw_client::table(const std::string& service) {
+    cw_http_client client{context_};
+    cw_store_client store{client, options_.platform};
+    const auto value = run(context_, store.read(cw_table_key(service), deadline()));
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (value->version == 0) {
+        return tl::unexpected(
+            cw_error{"read table", options_.platform, "service \"" + service + "\" has no table"});
+    }
+    return cw_slice_table::parse(value->value);
+}
+
+cw_client_exit cw_client::owners(const std::string& service) {
+    const auto found = table(service);
+    if (!found) {
+        return fail(found.error());
+    }
+    auto list = nlohmann::json::array();
+    std::ostringstream text;
+    text << "epoch " << found->epoch() << "\n";
+    for (const auto& [id, owner] : found->owners()) {
+        const auto slices = found->owned_by(id).size();
+        list.push_back({{"upstream", id},
+                        {"domain", owner.domain},
+                        {"address", owner.address},
+                        {"fence", owner.fence},
+                        {"slices", slices}});
+        text << std::left << std::setw(20) << id << ' ' << std::setw(10) << owner.domain << ' '
+             << std::setw(18) << owner.address << " slices " << std::setw(4) << slices << " fence "
+             << owner.fence << '\n';
+    }
+    print({{"epoch", found->epoch()}, {"owners", list}}, text.str());
+    return cw_client_exit::done;
+}
+
+cw_client_exit cw_client::explain(const std::string& service, const std::string& key) {
+    const auto found = table(service);
+    if (!found) {
+        return fail(found.error());
+    }
+    const auto hash = cw_key_hash(key);
+    const auto& slice = found->slice_of(hash);
+    const auto* owner = found->owner(slice.owner);
+    std::ostringstream text;
+    text << "key " << key << " has the position " << hash << "\n"
+         << "slice " << slice.first << " to " << slice.last << " of " << service << "\n"
+         << "owner " << slice.owner << " at " << owner->address << " in " << owner->domain << "\n"
+         << "generation " << slice.generation << ", fence " << owner->fence << ", table epoch "
+         << found->epoch() << " written by " << found->writer() << "\n";
+    print({{"service", service},
+           {"key", key},
+           {"hash", hash},
+           {"first", slice.first},
+           {"last", slice.last},
+           {"owner", slice.owner},
+           {"address", owner->address},
+           {"domain", owner->domain},
+           {"generation", slice.generation},
+           {"fence", owner->fence},
+           {"epoch", found->epoch()},
+           {"writer", found->writer()}},
+          text.str());
+    return cw_client_exit::done;
+}
+
+cw_client_exit cw_client::timeline() {
+    const auto list = hosts();
+    if (!list) {
+        return fail(list.error());
+    }
+    std::vector<nlohmann::json> events;
+    for (const auto& host : *list) {
+        if (host.kind != cw_host_kind::entry) {
+            continue;
+        }
+        const auto text = get(host.address, "/v1/timeline");
+        if (!text) {
+            std::cerr << "cuminwinch: " << text.error().text() << '\n';
+            continue;
+        }
+        for (const auto& event : nlohmann::json::parse(*text, nullptr, false)) {
+            events.push_back(event);
+        }
+    }
+    std::stable_sort(events.begin(), events.end(), [](const auto& left, const auto& right) {
+        return left.at("time_us") < right.at("time_us");
+    });
+    std::ostringstream text;
+    for (const auto& event : events) {
+        const std::chrono::microseconds micros{event.at("time_us").get<std::int64_t>()};
+        text << time_text(std::chrono::system_clock::time_point{micros}) << ' ' << std::left
+             << std::setw(12) << event.value("host", "") << ' ' << std::setw(8)
+             << event.value("domain", "") << ' ' << std::setw(7) << event.value("part", "") << ' '
+             << event.value("what", "") << ' ' << event.value("subject", "") << ' '
+             << event.value("detail", "") << '\n';
+    }
+    print(events, text.str());
+    return cw_client_exit::done;
+}
--- /dev/null
+++ b/Source/cw_client.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "cw_config_file.h"
+#include "cw_config_head.h"
+#include "cw_error.h"
+#include "cw_host.h"
+#include "cw_slice_table.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Exit codes of the operators' client. They do not change between versions.
+enum class cw_client_exit : int {
+    done = 0,
+    /// The platform or a keeper could not be reached, or answered with an error.
+    failed = 1,
+    /// The command line is wrong.
+    usage = 2,
+    /// The configuration has mistakes; nothing was changed.
+    invalid = 3,
+    /// Another operator's version was accepted meanwhile; nothing was changed.
+    conflict = 4,
+    /// Accepted, but not seen in force everywhere within the wait.
+    not_everywhere = 5
+};
+
+/// Settings of one run of the client.
+struct cw_client_options {
+    /// "IP:port" of the platform.
+    std::string platform;
+    bool json = false;
+    /// True when `apply` waits until the version is in force everywhere.
+    bool wait = false;
+    std::chrono::milliseconds longest_wait{};
+    std::string author;
+    /// Version that the operator believes to be in force; nothing when whatever is in force may be replaced.
+    std::optional<std::uint64_t> base;
+};
+
+/// The operators' commands. Each prints its result and returns the program's exit code.
+class cw_client {
+public:
+    explicit cw_client(cw_client_options options) : options_{std::move(options)} {}
+
+    cw_client_exit validate(const std::string& folder);
+    cw_client_exit plan(const std::string& folder);
+    cw_client_exit apply(const std::string& folder);
+    cw_client_exit status();
+    cw_client_exit history();
+    cw_client_exit show();
+    cw_client_exit owners(const std::string& service);
+    cw_client_exit explain(const std::string& service, const std::string& key);
+    cw_client_exit timeline();
+
+private:
+    struct stored_head {
+        std::uint64_t store_version = 0;
+        cw_config_head head;
+    };
+    struct host_status {
+        std::string host;
+        /// Empty when the host's keeper did not answer.
+        nlohmann::json status;
+    };
+
+    cw_result<std::vector<cw_config_file>> read_folder(const std::string& folder);
+    bool check(const std::vector<cw_config_file>& files);
+    cw_result<stored_head> read_head();
+    cw_result<std::vector<cw_config_file>> read_parts(const cw_config_head& head);
+    cw_result<std::string> get(const std::string& address, const std::string& target);
+    cw_result<std::vector<cw_host>> hosts();
+    cw_result<cw_slice_table> table(const std::string& service);
+    cw_result<std::vector<host_status>> host_statuses();
+    cw_result<void> write_parts(const std::vector<cw_config_file>& files);
+    cw_client_exit accept(const stored_head& base, cw_config_head next);
+    cw_client_exit wait_everywhere(std::uint64_t version);
+    cw_client_exit fail(const cw_error& error) const;
+    void print(const nlohmann::json& value, const std::string& text) const;
+
+    cw_client_options options_;
+    boost::asio::io_context context_;
+};
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -114,7 +114,10 @@
     : traffic_{traffic}, caller_{std::move(socket)} {}
 
 net::awaitable<void> cw_proxy_session::run(std::unique_ptr<cw_proxy_session> session) {
-    while (co_await session->serve_one()) {
+    // The result is kept in a variable: g++ 12 miscompiles a loop whose condition awaits and whose body is empty.
+    bool open = true;
+    while (open) {
+        open = co_await session->serve_one();
     }
 }
 
