Hold planned moves off the callers and the rates within their bounds

Causes, from a run of 12 entry hosts and 12 upstreams: a hand-over gave slices to an upstream that was draining in another domain; balancing in several domains added up; a router without its keeper worked by an old table; a new owner was asked before its grant had arrived; the host list was read whole twice a second. Change: draining is shared at once, one hold-down per service, smoothed load, routers learn other keepers, a refusing owner is asked again for at most 100 ms, the host list is read only when it has changed.

--- a/Source/cuminwinch_keeper.cpp
+++ b/Source/cuminwinch_keeper.cpp
@@ -23,7 +23,7 @@
                "; with this --renewal-ms it must be at least " + std::to_string(least_lease.count());
     }
     const auto tenure = settings.milliseconds("tenure-ms");
-    const auto least_tenure = 3 * usual.ask;
+    const auto least_tenure = 2 * usual.ask + usual.ask / 2;
     if (tenure < least_tenure) {
         return "--tenure-ms is " + std::to_string(tenure.count()) + "; it must be at least " +
                std::to_string(least_tenure.count());
--- /dev/null
+++ b/Source/cuminwinch_load.cpp
@@ -0,0 +1,99 @@
+/// cuminwinch-load: open-loop load with an audit of outcomes from the upstreams' journals.
+
+#include "cw_address.h"
+#include "cw_load_report.h"
+#include "cw_load_run.h"
+#include "cw_settings.h"
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace {
+
+std::vector<std::string> split(const std::string& text) {
+    std::vector<std::string> parts;
+    std::istringstream stream{text};
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+std::optional<std::string> wrong_target(const cw_settings& settings) {
+    for (const auto& target : split(settings.text("targets"))) {
+        if (!cw_address::parse(target)) {
+            return "--targets holds \"" + target + "\"; give IP:PORT,IP:PORT,...";
+        }
+    }
+    return std::nullopt;
+}
+
+void declare(cw_settings& settings) {
+    settings.add_text("targets", "IP:PORT,... of routers");
+    settings.add_text("prefix", "Path prefix of the service", "/gallery/");
+    settings.add_number("rate", "Requests per second", 1, 100'000, 100);
+    settings.add_number("seconds", "Length of the run", 1, 3'600, 5);
+    settings.add_number("keys", "Number of keys", 1, 10'000'000, 1'000);
+    settings.add_number("zipf-percent", "Exponent of the keys' popularity, in hundredths", 0, 300,
+                        100);
+    settings.add_number("post-percent", "Share of POST requests", 0, 100, 20);
+    settings.add_number("deadline-ms", "Deadline of each request", 1, 600'000, 2'000);
+    settings.add_number("answer-bytes", "Bytes of each answer; 0 for a small one", 0, 50'000'000, 0);
+    settings.add_number("seed", "Seed of the keys drawn", 0, 1'000'000'000, 1);
+    settings.add_address("platform", "IP:PORT of the platform, to audit journals; empty for none", "");
+    settings.add_rule(wrong_target);
+}
+
+cw_load_options options_from(const cw_settings& settings) {
+    constexpr double hundred = 100.0;
+    cw_load_options options;
+    options.targets = split(settings.text("targets"));
+    options.prefix = settings.text("prefix");
+    options.rate = static_cast<std::uint32_t>(settings.number("rate"));
+    options.length = std::chrono::seconds{settings.number("seconds")};
+    options.keys = static_cast<std::uint32_t>(settings.number("keys"));
+    options.zipf = static_cast<double>(settings.number("zipf-percent")) / hundred;
+    options.post_share = static_cast<double>(settings.number("post-percent")) / hundred;
+    options.deadline = settings.milliseconds("deadline-ms");
+    options.answer_bytes = static_cast<std::uint32_t>(settings.number("answer-bytes"));
+    options.seed = static_cast<std::uint64_t>(settings.number("seed"));
+    options.platform = settings.text("platform");
+    return options;
+}
+
+int run(const cw_load_options& options) {
+    cw_load_run load{options};
+    load.run();
+    auto report = cw_load_report::make(load.records(), options.length);
+    bool clean = report.outcomes[static_cast<std::size_t>(cw_load_outcome::wrong_answer)] == 0;
+    if (!options.platform.empty()) {
+        const auto journal = cw_read_journals(options.platform, report.unread_journals);
+        if (!journal) {
+            std::cerr << "cuminwinch-load: " << journal.error().text() << '\n';
+            return EXIT_FAILURE;
+        }
+        report.audit = cw_load_audit::check(load.records(), *journal);
+        clean = clean && report.audit->is_clean(report.unread_journals == 0);
+    }
+    std::cout << report.to_json().dump(2) << '\n';
+    return clean ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cw_settings settings{"cuminwinch-load", "Sends open-loop load and audits the outcomes."};
+    declare(settings);
+    if (const auto code = settings.parse(argc, argv)) {
+        return *code;
+    }
+    try {
+        return run(options_from(settings));
+    } catch (const std::exception& failure) {
+        std::cerr << "cuminwinch-load: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- a/Source/cw_balancer.cpp
+++ b/Source/cw_balancer.cpp
@@ -18,6 +18,10 @@
 /// Silence of all keepers of another domain after which its upstreams receive nothing.
 constexpr auto domain_silence = 3 * share_interval;
 constexpr auto plan_interval = 250ms;
+/// Weight of the latest second in the smoothed load; chance must not look like imbalance.
+constexpr double smoothing = 0.1;
+/// Smoothed rates below this, in requests per second, are forgotten.
+constexpr double least_rate = 0.01;
 /// Slices in one report; the rest of the load is spread too thin to steer by.
 constexpr std::size_t most_reported_slices = 48;
 
@@ -44,7 +48,14 @@
     : context_{context}, membership_{membership}, leases_{leases}, mover_{mover} {}
 
 void cw_balancer::on_router_load(const cw_router_load_event& event) {
-    loads_[event.service][context_.self().host] = event.rates;
+    auto& known = loads_[event.service][context_.self().host];
+    for (auto& [first, rate] : known) {
+        rate *= 1.0 - smoothing;
+    }
+    for (const auto& [first, rate] : event.rates) {
+        known[first] += smoothing * rate;
+    }
+    std::erase_if(known, [](const auto& entry) { return entry.second < least_rate; });
 }
 
 void cw_balancer::on_peer_load(const cw_ring_member& from, const cw_load_message& load,
@@ -69,6 +80,14 @@
         }
     }
     owning_domains_[table.service()] = std::move(domains);
+    // The hold-down is one for the whole service: whoever moved slices, all wait.
+    if (const auto* config = context_.service_config(table.service()); config != nullptr) {
+        auto& owned = known_slices_[table.service()];
+        if (owned != table.slices()) {
+            owned = table.slices();
+            next_balance_[table.service()] = now + config->hold_down;
+        }
+    }
 }
 
 cw_slice_loads cw_balancer::loads(const std::string& service) const {
@@ -95,17 +114,18 @@
     if (owner != nullptr && owner->address != place.address && stored->table.owns_slices(place.id)) {
         return false;
     }
+    const bool reported = std::any_of(unreachable_.begin(), unreachable_.end(), [&](const auto& entry) {
+        return entry.second.contains(place.id);
+    });
     if (place.domain == context_.domain()) {
         const auto found = leases_.leases().find(place.id);
-        return leases_.is_healthy(place.id, now) ||
-               (found != leases_.leases().end() && !found->second.silent_since &&
-                !found->second.draining && !leases_.is_responsible(place.id, now));
+        const bool fit = found != leases_.leases().end() && !found->second.silent_since &&
+                         !found->second.draining;
+        return fit && !reported &&
+               (leases_.is_healthy(place.id, now) || !leases_.is_responsible(place.id, now));
     }
     const auto heard = domain_heard_.find(place.domain);
     const auto since = heard == domain_heard_.end() ? started_ : heard->second;
-    const bool reported = std::any_of(unreachable_.begin(), unreachable_.end(), [&](const auto& entry) {
-        return entry.second.contains(place.id);
-    });
     // A domain that was taken over stays empty until it is heard again.
     const auto emptied = domain_emptied_.find(place.domain);
     const bool lost = emptied != domain_emptied_.end() && since <= emptied->second;
@@ -127,7 +147,9 @@
     if (context_.config() == nullptr || !membership_.is_member() || membership_.is_retired()) {
         return;
     }
-    if (now >= next_share_) {
+    const auto unfit = unfit_upstreams();
+    if (now >= next_share_ || unfit != shared_unfit_) {
+        shared_unfit_ = unfit;
         next_share_ = now + share_interval;
         share_load();
     }
@@ -183,9 +205,6 @@
 
 void cw_balancer::balance(const cw_service_config& service, cw_time_point now) {
     auto& next = next_balance_[service.name];
-    if (next == cw_time_point{}) {
-        next = now + service.hold_down;
-    }
     if (now < next || !mover_.is_idle(service.name)) {
         return;
     }
@@ -200,13 +219,17 @@
     mover_.start(moves.front().from, moves, now);
 }
 
-void cw_balancer::share_load() {
-    std::vector<std::string> unreachable;
+std::vector<std::string> cw_balancer::unfit_upstreams() const {
+    std::vector<std::string> unfit;
     for (const auto& [upstream, lease] : leases_.leases()) {
-        if (lease.silent_since) {
-            unreachable.push_back(upstream);
+        if (lease.silent_since || lease.draining) {
+            unfit.push_back(upstream);
         }
     }
+    return unfit;
+}
+
+void cw_balancer::share_load() {
     const auto* own = context_.config()->domain(context_.domain());
     if (own == nullptr) {
         return;
@@ -224,7 +247,7 @@
             for (const auto& service : context_.config()->services) {
                 if (service.keyed && service.firm == own->firm) {
                     const auto& known = loads_[service.name][context_.self().host];
-                    context_.send(host, cw_load_message{service.name, busiest(known), unreachable});
+                    context_.send(host, cw_load_message{service.name, busiest(known), shared_unfit_});
                 }
             }
         }
--- a/Source/cw_balancer.h
+++ b/Source/cw_balancer.h
@@ -37,6 +37,8 @@
     void drain(cw_time_point now);
     void balance(const cw_service_config& service, cw_time_point now);
     void share_load();
+    /// Upstreams of this domain that should receive nothing.
+    [[nodiscard]] std::vector<std::string> unfit_upstreams() const;
     [[nodiscard]] bool may_receive(const cw_upstream_place& place, const std::string& service,
                                    cw_time_point now) const;
 
@@ -49,7 +51,9 @@
     std::map<std::string, cw_time_point> domain_heard_;
     std::map<std::string, cw_time_point> domain_emptied_;
     std::map<std::string, std::set<std::string>> owning_domains_;
+    std::vector<std::string> shared_unfit_;
     std::map<std::string, cw_time_point> next_balance_;
+    std::map<std::string, std::vector<cw_slice>> known_slices_;
     std::map<std::string, cw_time_point> next_create_;
     cw_time_point next_share_{};
     cw_time_point next_plan_{};
--- a/Source/cw_keeper_io.cpp
+++ b/Source/cw_keeper_io.cpp
@@ -248,13 +248,11 @@
 }
 
 net::awaitable<void> cw_keeper_io::poll_hosts() {
-    std::string last;
     while (!stopping_) {
         const auto text = co_await store_.hosts(now() + store_timeout);
-        if (text && *text != last) {
+        if (text && !text->empty()) {
             const auto hosts = cw_parse_host_list(*text);
             if (hosts) {
-                last = *text;
                 for (const auto& host : *hosts) {
                     if (host.kind == cw_host_kind::entry) {
                         addresses_[host.id] = host.address;
--- /dev/null
+++ b/Source/cw_load_audit.cpp
@@ -0,0 +1,110 @@
+#include "cw_load_audit.h"
+
+#include "cw_host_list.h"
+#include "cw_http_client.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto call_timeout = 5s;
+
+cw_result<std::string> get(net::io_context& context, const std::string& address,
+                           const std::string& target) {
+    cw_http_client client{context};
+    cw_http_request request{http::verb::get, target, 11};
+    context.restart();
+    auto future = net::co_spawn(context,
+                                client.request(address, std::move(request),
+                                               std::chrono::steady_clock::now() + call_timeout),
+                                net::use_future);
+    context.run();
+    auto response = future.get();
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    return response->body();
+}
+
+std::size_t overlaps(std::vector<const cw_journal_entry*>& runs) {
+    std::sort(runs.begin(), runs.end(),
+              [](const auto* left, const auto* right) { return left->start < right->start; });
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        for (std::size_t j = i + 1; j < runs.size() && runs[j]->start < runs[i]->end; ++j) {
+            count += runs[i]->upstream != runs[j]->upstream ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+cw_load_audit cw_load_audit::check(const std::vector<cw_load_record>& records,
+                                   const std::vector<cw_journal_entry>& journal) {
+    cw_load_audit result;
+    std::unordered_map<std::string, std::size_t> commits;
+    std::map<std::string, std::vector<const cw_journal_entry*>> by_key;
+    for (const auto& entry : journal) {
+        if (entry.committed) {
+            ++commits[entry.request_id];
+            by_key[entry.key].push_back(&entry);
+        }
+    }
+    result.journal_entries = journal.size();
+    for (const auto& record : records) {
+        const auto found = commits.find(record.request_id);
+        const auto count = found == commits.end() ? 0 : found->second;
+        result.answered_without_run +=
+            record.outcome == cw_load_outcome::answered && count == 0 ? 1 : 0;
+        result.false_did_not_run +=
+            record.outcome == cw_load_outcome::did_not_run && count > 0 ? 1 : 0;
+        result.doubled += record.is_post && count > 1 ? 1 : 0;
+    }
+    for (auto& [key, runs] : by_key) {
+        result.two_owner_moments += overlaps(runs);
+    }
+    return result;
+}
+
+cw_result<std::vector<cw_journal_entry>> cw_read_journals(const std::string& platform,
+                                                          std::size_t& unread) {
+    net::io_context context;
+    const auto list = get(context, platform, "/hosts");
+    if (!list) {
+        return tl::unexpected(list.error());
+    }
+    const auto hosts = cw_parse_host_list(*list);
+    if (!hosts) {
+        return tl::unexpected(hosts.error());
+    }
+    std::vector<cw_journal_entry> journal;
+    unread = 0;
+    for (const auto& host : *hosts) {
+        if (host.kind != cw_host_kind::upstream) {
+            continue;
+        }
+        const auto text = get(context, host.address, "/journal");
+        const auto items = text ? nlohmann::json::parse(*text, nullptr, false) : nlohmann::json{};
+        if (!items.is_array()) {
+            ++unread;
+            continue;
+        }
+        for (const auto& item : items) {
+            journal.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), host.id,
+                               std::chrono::microseconds{item.at(2).get<std::int64_t>()},
+                               std::chrono::microseconds{item.at(3).get<std::int64_t>()},
+                               item.at(4).get<bool>()});
+        }
+    }
+    return journal;
+}
--- /dev/null
+++ b/Source/cw_load_run.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cw_load_options.h"
+#include "cw_load_record.h"
+#include "cw_zipf.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Sends requests open-loop and records how each ended.
+class cw_load_run {
+public:
+    explicit cw_load_run(cw_load_options options);
+    /// Runs to the end of the last request.
+    void run();
+    [[nodiscard]] const std::vector<cw_load_record>& records() const { return records_; }
+    /// Path of a key, as the upstreams' journals show it.
+    [[nodiscard]] std::string path_of(std::uint32_t key) const;
+
+private:
+    using stream = boost::beast::tcp_stream;
+
+    boost::asio::awaitable<void> send_all();
+    boost::asio::awaitable<void> send(std::size_t index, std::string target);
+    boost::asio::awaitable<bool> exchange(stream& connection, cw_load_record& record);
+    std::unique_ptr<stream> idle_connection(const std::string& target);
+
+    cw_load_options options_;
+    boost::asio::io_context context_{1};
+    std::mt19937_64 engine_;
+    cw_zipf popularity_;
+    std::string run_id_;
+    std::vector<cw_load_record> records_;
+    std::map<std::string, std::vector<std::unique_ptr<stream>>> idle_;
+};
--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -6,6 +6,11 @@
 
 #include <algorithm>
 
+namespace {
+/// Each deputy costs messages, and all must promise; a second one covers the loss of the first.
+constexpr std::size_t most_deputies = 2;
+} // namespace
+
 cw_membership::cw_membership(cw_keeper_context& context)
     : context_{context}, tenure_{context.timings().tenure} {}
 
@@ -245,7 +250,7 @@
 
 void cw_membership::keep_record(cw_time_point now) {
     // The store confirms the tenure whenever the peers do not, with one ask interval to spare.
-    const auto margin = now + 2 * context_.timings().ask;
+    const auto margin = now + context_.timings().ask;
     const auto strictest = owns_release_service() ? cw_cut_off_policy::release : cw_cut_off_policy::hold;
     if (is_member() && !may_grant(strictest, margin)) {
         read_ring(now);
@@ -324,7 +329,9 @@
         return {};
     }
     const auto* deputy = config->deputy_of(context_.domain());
-    return deputy == nullptr ? std::vector<std::string>{} : context_.entry_hosts(deputy->name);
+    auto hosts = deputy == nullptr ? std::vector<std::string>{} : context_.entry_hosts(deputy->name);
+    hosts.resize(std::min(hosts.size(), most_deputies));
+    return hosts;
 }
 
 void cw_membership::update_deputies(cw_time_point now) {
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -26,7 +26,8 @@
 constexpr auto connect_timeout = 250ms;
 constexpr auto view_poll = 2ms;
 /// Longest wait for a newer table: a planned move is over by then, and a loss takes longer.
-constexpr auto longest_view_wait = 100ms;
+constexpr std::chrono::milliseconds longest_view_wait = 100ms;
+constexpr std::chrono::milliseconds owner_retry = 10ms;
 constexpr auto longest_slot_wait = 100ms;
 constexpr auto slot_poll = 1ms;
 constexpr auto longest_deadline = 24h;
@@ -205,6 +206,7 @@
     }
     current.route = *route;
     prepare_request(current);
+    const auto owner_until = std::min<cw_time_point>(now() + longest_view_wait, current.deadline);
     while (true) {
         const auto result = co_await attempt(current);
         if (current.streamed_answer) {
@@ -228,18 +230,26 @@
         // Asking the same owner again is of no use when it cannot be reached or says it is not the owner.
         const bool needs_new_owner = result == cw_attempt_result::not_connected ||
                                      result == cw_attempt_result::refused_not_owner;
-        if (current.route.slice != nullptr && needs_new_owner &&
-            !co_await wait_for_newer_view(current)) {
-            co_return co_await answer_refusal(current, cw_outcome::did_not_run);
+        if (current.route.slice != nullptr && needs_new_owner) {
+            const bool newer = co_await wait_for_newer_view(current, result);
+            if (!newer && (result == cw_attempt_result::not_connected || now() > owner_until)) {
+                co_return co_await answer_refusal(current, cw_outcome::did_not_run);
+            }
         }
         ++current.state.attempts;
-        traffic_.budget.take();
+        if (result != cw_attempt_result::refused_not_owner) {
+            traffic_.budget.take();
+        }
         traffic_.metrics.on_retry();
     }
 }
 
-net::awaitable<bool> cw_proxy_session::wait_for_newer_view(exchange& current) {
-    const auto until = std::min<cw_time_point>(now() + longest_view_wait, current.deadline);
+net::awaitable<bool> cw_proxy_session::wait_for_newer_view(exchange& current,
+                                                            cw_attempt_result result) {
+    // A new owner that refuses may just not have its grant yet, so it is asked again soon.
+    const auto patience =
+        result == cw_attempt_result::refused_not_owner ? owner_retry : longest_view_wait;
+    const auto until = std::min<cw_time_point>(now() + patience, current.deadline);
     const std::string path{current.request.target()};
     const auto generation = current.route.slice->generation;
     net::steady_timer timer{traffic_.context};
--- a/Source/cw_proxy_session.h
+++ b/Source/cw_proxy_session.h
@@ -80,7 +80,8 @@
                   boost::beast::flat_buffer& buffer, Parser& head);
     boost::asio::awaitable<bool> stream_request(exchange& current,
                                                 cw_upstream_pool::stream& upstream);
-    boost::asio::awaitable<bool> wait_for_newer_view(exchange& current);
+    boost::asio::awaitable<bool> wait_for_newer_view(exchange& current,
+                                                      cw_attempt_result result);
     boost::asio::awaitable<bool> choose_upstream(exchange& current);
     boost::asio::awaitable<bool> answer(exchange& current, cw_outcome outcome);
     boost::asio::awaitable<bool> answer_refusal(exchange& current, cw_outcome outcome);
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -5,6 +5,7 @@
 #include "cw_router_services.h"
 #include "cw_traffic_thread.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -75,7 +76,7 @@
     std::uint64_t run = 0;
     std::uint64_t revision = 0;
     while (true) {
-        const auto& keeper = options_.keepers.at(chosen);
+        const auto keeper = options_.keepers.at(chosen % options_.keepers.size());
         const auto target = "/v1/routes?run=" + std::to_string(run) + "&revision=" +
                             std::to_string(revision) + "&wait_ms=" +
                             std::to_string(std::chrono::milliseconds{route_wait}.count());
@@ -87,17 +88,31 @@
             const auto state = nlohmann::json::parse(response->body(), nullptr, false);
             run = state.value("run", std::uint64_t{0});
             revision = state.value("revision", std::uint64_t{0});
+            learn_keepers(state.value("hosts", nlohmann::json::array()));
             caf::anon_send(kernel_.find("control"), response->body());
             continue;
         }
         if (response && response->result() == http::status::no_content) {
             continue;
         }
-        chosen = (chosen + 1) % options_.keepers.size();
+        ++chosen;
         co_await pause(retry_pause);
     }
 }
 
+void cw_router::learn_keepers(const nlohmann::json& hosts) {
+    for (const auto& host : hosts) {
+        if (host.value("kind", "") != "entry" || host.value("domain", "") != options_.domain) {
+            continue;
+        }
+        const auto address = host.value("address", "");
+        auto& known = options_.keepers;
+        if (std::find(known.begin(), known.end(), address) == known.end()) {
+            known.push_back(address);
+        }
+    }
+}
+
 net::awaitable<void> cw_router::stop_in_order() {
     ready_ = false;
     shared_.timeline().add({"stopping", options_.host, "no longer ready"},
--- a/Source/cw_router.h
+++ b/Source/cw_router.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <vector>
 
 class cw_traffic_thread;
@@ -29,6 +30,8 @@
     boost::asio::awaitable<cw_http_response> serve_admin(cw_http_request request);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
     [[nodiscard]] std::string metrics() const;
+    /// Other keepers of the own domain, for when the one in use does not answer.
+    void learn_keepers(const nlohmann::json& hosts);
 
     cw_router_options options_;
     cw_log log_{"router"};
--- a/Source/cw_settings.cpp
+++ b/Source/cw_settings.cpp
@@ -120,12 +120,12 @@
 cw_result<void> cw_settings::check(const definition& setting, const std::string& value) const {
     switch (setting.type) {
     case definition::kind::text:
-        if (value.empty()) {
+        if (value.empty() && setting.fallback != "") {
             return mistake(setting.name, "is empty; give a text");
         }
         break;
     case definition::kind::address:
-        if (!value.empty() && !cw_address::parse(value)) {
+        if (!cw_address::parse(value) && !(value.empty() && setting.fallback == "")) {
             return mistake(setting.name, "is \"" + value + "\"; give IP:PORT, such as 127.0.0.1:8080");
         }
         break;
--- a/Source/cw_store_client.cpp
+++ b/Source/cw_store_client.cpp
@@ -76,13 +76,21 @@
 }
 
 net::awaitable<cw_result<std::string>> cw_store_client::hosts(cw_time_point deadline) {
-    const auto response = co_await http_.request(
-        address_, make_request(http::verb::get, "/hosts", address_), deadline);
+    auto request = make_request(http::verb::get, "/hosts", address_);
+    if (!hosts_tag_.empty()) {
+        request.set(http::field::if_none_match, hosts_tag_);
+    }
+    const auto response = co_await http_.request(address_, std::move(request), deadline);
     if (!response) {
         co_return tl::unexpected(response.error());
     }
+    if (response->result() == http::status::not_modified) {
+        co_return std::string{};
+    }
     if (response->result() != http::status::ok) {
-        co_return tl::unexpected(cw_error{"host list", address_, "status " + std::to_string(response->result_int())});
+        co_return tl::unexpected(
+            cw_error{"host list", address_, "status " + std::to_string(response->result_int())});
     }
+    hosts_tag_ = std::string{(*response)[http::field::etag]};
     co_return response->body();
 }
--- a/Source/cw_store_client.h
+++ b/Source/cw_store_client.h
@@ -31,7 +31,7 @@
     boost::asio::awaitable<cw_write_outcome> write(std::string key, std::string value,
                                                    std::uint64_t expected_version,
                                                    cw_time_point deadline);
-    /// The platform's host list as JSON text.
+    /// The platform's host list as JSON text; empty when it has not changed since the last call.
     boost::asio::awaitable<cw_result<std::string>> hosts(cw_time_point deadline);
 
 private:
@@ -40,4 +40,5 @@
 
     cw_http_client& http_;
     std::string address_;
+    std::string hosts_tag_;
 };
--- a/Source/cw_timings.h
+++ b/Source/cw_timings.h
@@ -9,9 +9,9 @@
     /// Length of a lease, counted from the granter's decision.
     std::chrono::milliseconds lease{450};
     /// Length of a tenure, counted from the moment its confirmation was asked for.
-    std::chrono::milliseconds tenure{200};
+    std::chrono::milliseconds tenure{250};
     /// Interval between two requests for a promise to the same peer.
-    std::chrono::milliseconds ask{65};
+    std::chrono::milliseconds ask{90};
     /// Silence after which an upstream or a peer is suspected.
     std::chrono::milliseconds suspicion{180};
     /// Interval between two attempts to reach a suspected upstream.
--- a/Standins/cuminwinch_standin_upstream.cpp
+++ b/Standins/cuminwinch_standin_upstream.cpp
@@ -15,11 +15,17 @@
 namespace {
 
 using namespace std::chrono_literals;
+constexpr auto linger = 1s;
 
 boost::asio::awaitable<void> drain(boost::asio::io_context& context, cw_upstream_standin& upstream) {
     upstream.begin_drain();
     boost::asio::steady_timer timer{context};
-    while (!upstream.is_drained()) {
+    auto drained_since = std::chrono::steady_clock::now();
+    // A keeper elsewhere may not have heard yet and may still hand a slice over, which is given up again.
+    while (std::chrono::steady_clock::now() < drained_since + linger) {
+        if (!upstream.is_drained()) {
+            drained_since = std::chrono::steady_clock::now();
+        }
         timer.expires_after(10ms);
         boost::system::error_code failure;
         co_await timer.async_wait(cw_into(failure));
--- a/Standins/cw_store_standin.cpp
+++ b/Standins/cw_store_standin.cpp
@@ -137,8 +137,15 @@
 
 cw_http_response cw_store_standin::serve_hosts(const cw_http_request& request) {
     if (request.method() == http::verb::get) {
-        return cw_make_response(http::status::ok, hosts_.dump());
+        const auto tag = "\"" + std::to_string(hosts_version_) + "\"";
+        if (request[http::field::if_none_match] == tag) {
+            return cw_make_response(http::status::not_modified, "");
+        }
+        auto response = cw_make_response(http::status::ok, hosts_.dump());
+        response.set(http::field::etag, tag);
+        return response;
     }
+    ++hosts_version_;
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     if (request.method() == http::verb::put && body.is_array()) {
         hosts_ = body;
--- a/Standins/cw_store_standin.h
+++ b/Standins/cw_store_standin.h
@@ -49,6 +49,7 @@
     boost::asio::steady_timer changed_;
     std::map<std::string, value> values_;
     nlohmann::json hosts_ = nlohmann::json::array();
+    std::uint64_t hosts_version_ = 1;
     bool up_ = true;
     std::chrono::milliseconds delay_{0};
     double lost_reply_share_ = 0.0;
