--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -19,7 +19,8 @@
 std::vector<std::string> cw_membership::ring_peers() const {
     std::vector<std::string> peers;
     for (const auto& member : ring_->members) {
-        if (member != context_.self()) {
+        // A member that has left in order never supersedes anyone again.
+        if (member != context_.self() && !left_.contains(member)) {
             peers.push_back(member.host);
         }
     }
@@ -201,13 +202,10 @@
         return;
     }
     retired_ = true;
+    // A removal that may still take effect is a right not given up, so peers must not forget this keeper.
+    leaving_in_order_ = !pending_.has_value();
     pending_.reset();
-    if (!ring_) {
-        return;
-    }
-    for (const auto& peer : ring_peers()) {
-        context_.send(peer, cw_leave_message{});
-    }
+    say_leave();
     if (is_member()) {
         auto next = *ring_;
         ++next.epoch;
@@ -216,6 +214,15 @@
     }
 }
 
+void cw_membership::say_leave() {
+    if (!ring_ || !leaving_in_order_) {
+        return;
+    }
+    for (const auto& peer : ring_peers()) {
+        context_.send(peer, cw_leave_message{});
+    }
+}
+
 void cw_membership::on_tick(cw_time_point now) {
     if (started_ == cw_time_point{}) {
         started_ = now;
@@ -226,6 +233,7 @@
         return;
     }
     if (retired_) {
+        say_leave();
         return;
     }
     send_asks(now);
--- a/Source/cw_membership.h
+++ b/Source/cw_membership.h
@@ -64,6 +64,8 @@
 
 private:
     void send_asks(cw_time_point now);
+    /// Tells the peers that all rights are given up; repeated, since messages may be lost.
+    void say_leave();
     void keep_record(cw_time_point now);
     void join(cw_time_point now);
     void remove_silent(cw_time_point now);
@@ -104,4 +106,5 @@
     cw_time_point started_{};
     bool hasten_ = false;
     bool retired_ = false;
+    bool leaving_in_order_ = false;
 };
--- /dev/null
+++ b/Tests/Ownership/Scenarios/keeper_lost_in_outage.lua
@@ -0,0 +1,13 @@
+-- Two faults at once: the store is away and a keeper dies. Its domain's tenure ends, as docs/OWNERSHIP.md says.
+estate{domains = 2, keepers = 3, upstreams = 3}
+run(3000)
+store("down")
+run(2000)
+kill("d0k1")
+run(5000)
+expect(unowned() > 0, "the domain of the lost keeper has stopped")
+expect(unowned() <= 40, "the other domain goes on")
+store("up")
+run(4000)
+expect(unowned() == 0, "all positions are served again")
+expect(two_owners() == 0, "no position had two owners")
--- /dev/null
+++ b/Tests/Ownership/Scenarios/store_outage.lua
@@ -0,0 +1,15 @@
+-- The store is away for two minutes. Nothing needs it while nothing is lost.
+estate{domains = 2, keepers = 3, upstreams = 3}
+run(3000)
+reset_gaps()
+store("down")
+run(60000)
+expect(longest_gap() <= 10, "the outage alone took no position away")
+say("an upstream dies during the outage")
+kill("d1u2")
+run(60000)
+expect(unowned() > 0, "its positions wait for the store")
+store("up")
+run(3000)
+expect(unowned() == 0, "they are served again once the store is back")
+expect(two_owners() == 0, "no position had two owners")
--- /dev/null
+++ b/Tests/Ownership/Scenarios/two_losses_in_a_row.lua
@@ -0,0 +1,11 @@
+-- One upstream after another dies, each while the slices of the one before are on their way.
+estate{domains = 2, keepers = 3, upstreams = 3}
+run(3000)
+kill("d0u0")
+run(450)
+kill("d0u1")
+run(450)
+kill("d1u0")
+run(4000)
+expect(unowned() == 0, "the remaining upstreams own everything")
+expect(two_owners() == 0, "no position had two owners")
