Begin nothing in an outage that the outage would leave half done

Cause: after a keeper left in order during an outage, its peers tried to remove it from the ring record; while such a write is open no promise is given, so both lost their tenure. Change: ring records, hand-overs and releases are written only after a read of at most 400 ms ago.

--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -151,7 +151,10 @@
     bool removal = is_first;
     if (ring_) {
         for (const auto& member : ring_->members) {
-            removal = removal || !event.ring.has(member);
+            if (!event.ring.has(member)) {
+                removal = true;
+                context_.note("member-removed", member.host);
+            }
         }
     }
     ring_ = event.ring;
@@ -197,6 +200,14 @@
     next_read_ = now + context_.timings().ask;
 }
 
+bool cw_membership::confirm_store(cw_time_point now) {
+    if (now < ring_read_sent_ + context_.timings().store_freshness) {
+        return true;
+    }
+    read_ring(now);
+    return false;
+}
+
 void cw_membership::retire(cw_time_point now) {
     if (retired_) {
         return;
@@ -279,6 +290,9 @@
     if (context_.config() == nullptr || context_.host(context_.self().host) == nullptr) {
         return;
     }
+    if (!confirm_store(now)) {
+        return;
+    }
     auto next = *ring_;
     next.domain = context_.domain();
     ++next.epoch;
@@ -308,10 +322,9 @@
         const bool silent = now >= since + patience || left_.contains(member);
         if (silent && may_remove(member, now)) {
             next.remove(member);
-            context_.note("member-removed", member.host);
         }
     }
-    if (next.members != ring_->members) {
+    if (next.members != ring_->members && confirm_store(now)) {
         ++next.epoch;
         write_ring(std::move(next), now);
     }
@@ -347,7 +360,7 @@
         return;
     }
     auto wanted = wanted_deputies();
-    if (wanted != ring_->deputies) {
+    if (wanted != ring_->deputies && confirm_store(now)) {
         auto next = *ring_;
         ++next.epoch;
         next.deputies = std::move(wanted);
--- a/Source/cw_membership.h
+++ b/Source/cw_membership.h
@@ -51,6 +51,8 @@
     [[nodiscard]] bool is_leader(cw_time_point now) const;
     /// Asks for a read of the ring record from the store.
     void read_ring(cw_time_point now);
+    /// True when the store answered of late; otherwise it is asked, and a later call may succeed.
+    [[nodiscard]] bool confirm_store(cw_time_point now);
     /// Wants silent members removed sooner than cw_timings::removal.
     void hasten_removal() { hasten_ = true; }
     /// True when the member has asked this keeper for a promise by a record of at least the given
--- a/Source/cw_mover.cpp
+++ b/Source/cw_mover.cpp
@@ -20,7 +20,7 @@
                      cw_time_point now) {
     const auto* lease = leases_.lease(upstream);
     if (lease == nullptr || handovers_.contains(upstream) || moves.empty() ||
-        !leases_.may_grant(upstream, now)) {
+        !leases_.may_grant(upstream, now) || !membership_.confirm_store(now)) {
         return;
     }
     handover current;
--- a/Source/cw_releaser.cpp
+++ b/Source/cw_releaser.cpp
@@ -32,6 +32,7 @@
         return;
     }
     auto& state = wards_[event.ring.domain];
+    state.read_sent = std::max(state.read_sent, event.sent);
     if (state.ring && event.store_version <= state.store_version) {
         return;
     }
@@ -126,6 +127,14 @@
     if (next.released == state.ring->released) {
         return;
     }
+    // Promises withheld during an outage would stop the domain for nothing.
+    if (now >= state.read_sent + context_.timings().store_freshness) {
+        if (now >= state.next_read) {
+            state.next_read = now + context_.timings().ask;
+            context_.emit(cw_read_command{cw_ring_key(domain)});
+        }
+        return;
+    }
     // From here on no member of the domain is promised anything by the record it may know.
     membership_.withhold_promises(domain, next.epoch);
     ++next.epoch;
--- a/Source/cw_releaser.h
+++ b/Source/cw_releaser.h
@@ -34,6 +34,9 @@
         std::optional<cw_ring> ring;
         std::uint64_t store_version = 0;
         cw_time_point released_seen{};
+        /// Moment at which the latest answered read of the record was sent.
+        cw_time_point read_sent{};
+        cw_time_point next_read{};
         std::optional<cw_write_command> ring_write;
         std::map<std::string, cw_write_command> table_writes;
         cw_time_point resend_at{};
--- a/Source/cw_timings.h
+++ b/Source/cw_timings.h
@@ -20,6 +20,9 @@
     std::chrono::milliseconds removal{1500};
     /// Time a keeper waits before it repeats a store operation without a reply.
     std::chrono::milliseconds store_retry{100};
+    /// Age up to which a read shows that the store answers. Nothing that an outage would leave half done is
+    /// begun without such a read.
+    std::chrono::milliseconds store_freshness{400};
     /// Allowance for the difference of two clocks' rates over one lease.
     std::chrono::milliseconds drift{5};
     /// Time a host must be missing from the platform's list before it counts as gone.
