--- a/Source/cuminwinch.cpp
+++ b/Source/cuminwinch.cpp
@@ -18,13 +18,17 @@
 
 const std::map<std::string, command>& commands() {
     static const std::map<std::string, command> table{
-        {"validate", {{"FOLDER"}, [](auto& client, const auto& words) { return client.validate(words[1]); }}},
-        {"plan", {{"FOLDER"}, [](auto& client, const auto& words) { return client.plan(words[1]); }}},
-        {"apply", {{"FOLDER"}, [](auto& client, const auto& words) { return client.apply(words[1]); }}},
+        {"validate",
+         {{"FOLDER"}, [](auto& client, const auto& words) { return client.validate(words[1]); }}},
+        {"plan",
+         {{"FOLDER"}, [](auto& client, const auto& words) { return client.plan(words[1]); }}},
+        {"apply",
+         {{"FOLDER"}, [](auto& client, const auto& words) { return client.apply(words[1]); }}},
         {"status", {{}, [](auto& client, const auto&) { return client.status(); }}},
         {"history", {{}, [](auto& client, const auto&) { return client.history(); }}},
         {"show", {{}, [](auto& client, const auto&) { return client.show(); }}},
-        {"owners", {{"SERVICE"}, [](auto& client, const auto& words) { return client.owners(words[1]); }}},
+        {"owners",
+         {{"SERVICE"}, [](auto& client, const auto& words) { return client.owners(words[1]); }}},
         {"explain",
          {{"SERVICE", "KEY"},
           [](auto& client, const auto& words) { return client.explain(words[1], words[2]); }}},
@@ -75,17 +79,20 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    cw_settings settings{"cuminwinch", "Submits whole configurations and shows what the system does.\n"
-                                       "Commands: " +
-                                           command_names()};
+    cw_settings settings{"cuminwinch",
+                         "Submits whole configurations and shows what the system does.\n"
+                         "Commands: " +
+                             command_names()};
     const char* user = std::getenv("USER");
-    settings.add_address("platform", "IP:PORT of the platform's store and host list", "127.0.0.1:7000");
+    settings.add_address("platform", "IP:PORT of the platform's store and host list",
+                         "127.0.0.1:7000");
     settings.add_flag("json", "Print JSON");
     settings.add_flag("wait", "apply: wait until the version is in force everywhere reachable");
     settings.add_number("wait-ms", "apply: longest wait", 1, 3'600'000, 30'000);
     settings.add_number("base", "apply: version believed to be in force; -1 for any", -1,
                         1'000'000'000'000, -1);
-    settings.add_text("author", "apply: name kept in the history", user == nullptr ? "operator" : user);
+    settings.add_text("author", "apply: name kept in the history",
+                      user == nullptr ? "operator" : user);
     settings.add_words("COMMAND [ARGUMENTS]");
     settings.add_rule(wrong_words);
     if (const auto code = settings.parse(argc, argv)) {
--- a/Source/cuminwinch_keeper.cpp
+++ b/Source/cuminwinch_keeper.cpp
@@ -20,7 +20,8 @@
     const auto least_lease = 2 * settings.milliseconds("renewal-ms") + usual.suspicion / 2;
     if (lease < least_lease) {
         return "--lease-ms is " + std::to_string(lease.count()) +
-               "; with this --renewal-ms it must be at least " + std::to_string(least_lease.count());
+               "; with this --renewal-ms it must be at least " +
+               std::to_string(least_lease.count());
     }
     const auto tenure = settings.milliseconds("tenure-ms");
     const auto least_tenure = 2 * usual.ask + usual.ask / 2;
--- a/Source/cuminwinch_load.cpp
+++ b/Source/cuminwinch_load.cpp
@@ -41,9 +41,11 @@
                         100);
     settings.add_number("post-percent", "Share of POST requests", 0, 100, 20);
     settings.add_number("deadline-ms", "Deadline of each request", 1, 600'000, 2'000);
-    settings.add_number("answer-bytes", "Bytes of each answer; 0 for a small one", 0, 50'000'000, 0);
+    settings.add_number("answer-bytes", "Bytes of each answer; 0 for a small one", 0, 50'000'000,
+                        0);
     settings.add_number("seed", "Seed of the keys drawn", 0, 1'000'000'000, 1);
-    settings.add_address("platform", "IP:PORT of the platform, to audit journals; empty for none", "");
+    settings.add_address("platform", "IP:PORT of the platform, to audit journals; empty for none",
+                         "");
     settings.add_rule(wrong_target);
 }
 
--- a/Source/cuminwinch_router.cpp
+++ b/Source/cuminwinch_router.cpp
@@ -61,7 +61,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    cw_settings settings{"cuminwinch-router", "Routes callers' requests to the owners of their keys."};
+    cw_settings settings{"cuminwinch-router",
+                         "Routes callers' requests to the owners of their keys."};
     declare(settings);
     if (const auto code = settings.parse(argc, argv)) {
         return *code;
--- a/Source/cw_attempt.h
+++ b/Source/cw_attempt.h
@@ -45,8 +45,8 @@
 /// Attempts per request, the first included.
 inline constexpr std::uint32_t cw_most_attempts = 3;
 
-/// Attempts per request while upstreams answer that they do not own the key. Such refusals cost them next
-/// to nothing and end with the hand-over, so they take no token of the retry budget.
+/// Attempts per request while upstreams answer that they do not own the key. Such refusals cost
+/// them next to nothing and end with the hand-over, so they take no token of the retry budget.
 inline constexpr std::uint32_t cw_most_owner_attempts = 12;
 
 /// Only what surely did not run, or may run twice, is tried again.
--- a/Source/cw_balancer.cpp
+++ b/Source/cw_balancer.cpp
@@ -111,12 +111,13 @@
                               cw_time_point now) const {
     const auto* stored = context_.table(service);
     const auto* owner = stored == nullptr ? nullptr : stored->table.owner(place.id);
-    if (owner != nullptr && owner->address != place.address && stored->table.owns_slices(place.id)) {
+    if (owner != nullptr && owner->address != place.address &&
+        stored->table.owns_slices(place.id)) {
         return false;
     }
-    const bool reported = std::any_of(unreachable_.begin(), unreachable_.end(), [&](const auto& entry) {
-        return entry.second.contains(place.id);
-    });
+    const bool reported =
+        std::any_of(unreachable_.begin(), unreachable_.end(),
+                    [&](const auto& entry) { return entry.second.contains(place.id); });
     if (place.domain == context_.domain()) {
         const auto found = leases_.leases().find(place.id);
         const bool fit = found != leases_.leases().end() && !found->second.silent_since &&
@@ -186,7 +187,9 @@
 }
 
 void cw_balancer::drain(cw_time_point now) {
-    for (const auto& [upstream, lease] : leases_.leases()) {
+    for (const auto& entry : leases_.leases()) {
+        const auto& upstream = entry.first;
+        const auto& lease = entry.second;
         const auto* host = context_.host(upstream);
         const bool leaving = lease.draining || (host != nullptr && host->leaving);
         const auto* stored = context_.table(lease.service);
@@ -209,9 +212,11 @@
         return;
     }
     const auto& table = context_.table(service.name)->table;
-    const auto moves = cw_planner::balance(table, loads(service.name), candidates(service.name, now),
-                                           {service.imbalance_bound, service.churn_budget});
-    // Only the keeper that renews the busiest upstream acts, so plans of several domains do not add up.
+    const auto moves =
+        cw_planner::balance(table, loads(service.name), candidates(service.name, now),
+                            {service.imbalance_bound, service.churn_budget});
+    // Only the keeper that renews the busiest upstream acts, so plans of several domains do not add
+    // up.
     if (moves.empty() || !leases_.is_responsible(moves.front().from, now)) {
         return;
     }
@@ -247,7 +252,8 @@
             for (const auto& service : context_.config()->services) {
                 if (service.keyed && service.firm == own->firm) {
                     const auto& known = loads_[service.name][context_.self().host];
-                    context_.send(host, cw_load_message{service.name, busiest(known), shared_unfit_});
+                    context_.send(host,
+                                  cw_load_message{service.name, busiest(known), shared_unfit_});
                 }
             }
         }
--- a/Source/cw_balancer.h
+++ b/Source/cw_balancer.h
@@ -13,8 +13,8 @@
 class cw_membership;
 class cw_mover;
 
-/// Watches load and hosts, and starts planned moves: off leaving upstreams, onto new ones, and away from
-/// busy ones within the churn budget of the service.
+/// Watches load and hosts, and starts planned moves: off leaving upstreams, onto new ones, and away
+/// from busy ones within the churn budget of the service.
 class cw_balancer {
 public:
     cw_balancer(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases,
--- a/Source/cw_client.cpp
+++ b/Source/cw_client.cpp
@@ -32,7 +32,9 @@
 constexpr std::size_t kept_history = 50;
 constexpr std::size_t largest_part = 1'000'000;
 
-auto deadline() { return std::chrono::steady_clock::now() + call_timeout; }
+auto deadline() {
+    return std::chrono::steady_clock::now() + call_timeout;
+}
 
 /// Runs one coroutine to its end and returns its result.
 template <typename T>
@@ -45,9 +47,8 @@
 
 std::string time_text(std::chrono::system_clock::time_point at) {
     const auto seconds = std::chrono::system_clock::to_time_t(at);
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
-                            at.time_since_epoch() % 1s)
-                            .count();
+    const auto micros =
+        std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch() % 1s).count();
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::ostringstream text;
@@ -133,9 +134,9 @@
     cw_http_client client{context_};
     cw_http_request request{http::verb::get, target, 11};
     request.set(http::field::host, address);
-    const auto response = run(context_, client.request(address, std::move(request),
-                                                       std::chrono::steady_clock::now() +
-                                                           status_timeout));
+    const auto response =
+        run(context_, client.request(address, std::move(request),
+                                     std::chrono::steady_clock::now() + status_timeout));
     if (!response) {
         return tl::unexpected(response.error());
     }
@@ -149,8 +150,7 @@
 cw_result<cw_client::stored_head> cw_client::read_head() {
     cw_http_client client{context_};
     cw_store_client store{client, options_.platform};
-    const auto value =
-        run(context_, store.read(std::string{cw_config_head_key}, deadline()));
+    const auto value = run(context_, store.read(std::string{cw_config_head_key}, deadline()));
     if (!value) {
         return tl::unexpected(value.error());
     }
@@ -195,9 +195,9 @@
     auto gone = present->head.parts;
     for (const auto& file : *files) {
         const auto known = gone.find(file.name);
-        const char* change = known == gone.end()                                ? "add"
+        const char* change = known == gone.end()                            ? "add"
                              : known->second != cw_config_digest(file.text) ? "change"
-                                                                              : nullptr;
+                                                                            : nullptr;
         gone.erase(file.name);
         if (change != nullptr) {
             changes.push_back({{"file", file.name}, {"change", change}});
@@ -208,7 +208,8 @@
         changes.push_back({{"file", name}, {"change", "remove"}});
         text += "remove " + name + "\n";
     }
-    // A configuration names no owner, so no version moves a key by itself; new services start empty.
+    // A configuration names no owner, so no version moves a key by itself; new services start
+    // empty.
     text += changes.empty() ? "nothing changes\n" : "keys moved: 0\n";
     print({{"base", present->head.version}, {"changes", changes}, {"keys_moved", 0}}, text);
     return cw_client_exit::done;
@@ -283,9 +284,9 @@
     cw_store_client store{client, options_.platform};
     bool accepted = false;
     for (int tries = 0; tries < write_tries && !accepted; ++tries) {
-        const auto outcome = run(
-            context_, store.write(std::string{cw_config_head_key}, next.to_json(),
-                                  base.store_version, deadline()));
+        const auto outcome =
+            run(context_, store.write(std::string{cw_config_head_key}, next.to_json(),
+                                      base.store_version, deadline()));
         accepted = outcome == cw_write_outcome::done;
         if (outcome != cw_write_outcome::conflict) {
             continue;
@@ -334,8 +335,8 @@
             continue;
         }
         const auto text = get(host.address, "/v1/status");
-        statuses.push_back({host.id, text ? nlohmann::json::parse(*text, nullptr, false)
-                                          : nlohmann::json{}});
+        statuses.push_back(
+            {host.id, text ? nlohmann::json::parse(*text, nullptr, false) : nlohmann::json{}});
     }
     return statuses;
 }
@@ -369,8 +370,8 @@
         std::cerr << "waiting: in force on " << in_force << " of " << reachable << " hosts\n";
         std::this_thread::sleep_for(wait_poll);
     }
-    std::cerr << "cuminwinch: apply: version " << version << " is in force on " << in_force << " of "
-              << reachable << " reachable hosts; see `status`\n";
+    std::cerr << "cuminwinch: apply: version " << version << " is in force on " << in_force
+              << " of " << reachable << " reachable hosts; see `status`\n";
     return cw_client_exit::not_everywhere;
 }
 
--- a/Source/cw_client.h
+++ b/Source/cw_client.h
@@ -38,7 +38,8 @@
     bool wait = false;
     std::chrono::milliseconds longest_wait{};
     std::string author;
-    /// Version that the operator believes to be in force; nothing when whatever is in force may be replaced.
+    /// Version that the operator believes to be in force; nothing when whatever is in force may be
+    /// replaced.
     std::optional<std::uint64_t> base;
 };
 
--- a/Source/cw_condemner.cpp
+++ b/Source/cw_condemner.cpp
@@ -22,7 +22,8 @@
         auto& [upstream, current] = *place;
         const auto* stored = context_.table(current.service);
         const bool over = stored->table.epoch() > current.base_epoch;
-        const bool answered = !leases_.is_suspect(upstream, now) && leases_.is_healthy(upstream, now);
+        const bool answered =
+            !leases_.is_suspect(upstream, now) && leases_.is_healthy(upstream, now);
         if (!over && answered && !current.write) {
             cancel(upstream, current);
         }
--- a/Source/cw_condemner.h
+++ b/Source/cw_condemner.h
@@ -16,10 +16,10 @@
 
 /// Takes the slices of a lost upstream away from it and hands them to others.
 ///
-/// The table is written only after every member of the ring has confirmed a hold on the upstream, and
-/// the last lease that any of them may have granted has ended. The members are taken from a record that
-/// was read after the base epoch of the hold was known; a keeper that joins later raises the epoch
-/// before its first grant, and the write then fails.
+/// The table is written only after every member of the ring has confirmed a hold on the upstream,
+/// and the last lease that any of them may have granted has ended. The members are taken from a
+/// record that was read after the base epoch of the hold was known; a keeper that joins later
+/// raises the epoch before its first grant, and the write then fails.
 class cw_condemner {
 public:
     cw_condemner(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases,
--- a/Source/cw_config_head.cpp
+++ b/Source/cw_config_head.cpp
@@ -8,9 +8,9 @@
 std::string cw_config_head::to_json() const {
     auto list = nlohmann::json::array();
     for (const auto& entry : history) {
-        const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
-                                entry.accepted.time_since_epoch())
-                                .count();
+        const auto micros =
+            std::chrono::duration_cast<std::chrono::microseconds>(entry.accepted.time_since_epoch())
+                .count();
         list.push_back({{"version", entry.version}, {"time_us", micros}, {"author", entry.author}});
     }
     return nlohmann::json{
--- a/Source/cw_config_parser.cpp
+++ b/Source/cw_config_parser.cpp
@@ -112,7 +112,7 @@
             }
             return std::nullopt;
         }
-        const auto found = node->value<T>();
+        auto found = node->value<T>();
         if (!found) {
             add(name, "has the wrong type; give " + std::string{kind});
         }
@@ -186,7 +186,8 @@
         }
         const auto* items = node.as_array();
         if (items == nullptr) {
-            issues.push_back({file, line, "write [[" + std::string{key.str()} + "]], a list of tables"});
+            issues.push_back(
+                {file, line, "write [[" + std::string{key.str()} + "]], a list of tables"});
             return;
         }
         for (const auto& item : *items) {
@@ -225,8 +226,7 @@
         reader.flag("keyed", service.keyed);
         reader.flag("checks_fences", service.checks_fences);
         reader.choice<cw_cut_off_policy>(
-            "cut_off",
-            {{"hold", cw_cut_off_policy::hold}, {"release", cw_cut_off_policy::release}},
+            "cut_off", {{"hold", cw_cut_off_policy::hold}, {"release", cw_cut_off_policy::release}},
             service.cut_off);
         reader.choice<cw_priority>("priority",
                                    {{"critical", cw_priority::critical},
@@ -280,7 +280,8 @@
         for (std::size_t other = 0; other < index; ++other) {
             const auto& theirs = config.services[other];
             if (!mine.prefix.empty() && !theirs.prefix.empty() &&
-                (mine.prefix.starts_with(theirs.prefix) || theirs.prefix.starts_with(mine.prefix))) {
+                (mine.prefix.starts_with(theirs.prefix) ||
+                 theirs.prefix.starts_with(mine.prefix))) {
                 issues.push_back({service_places_[index].file, service_places_[index].line,
                                   "prefix \"" + mine.prefix + "\" overlaps \"" + theirs.prefix +
                                       "\" of service \"" + theirs.name + "\""});
--- a/Source/cw_config_source.cpp
+++ b/Source/cw_config_source.cpp
@@ -16,8 +16,8 @@
     return cw_loaded_config{std::move(config), std::move(files)};
 }
 
-boost::asio::awaitable<cw_result<cw_loaded_config>>
-cw_config_source::load(cw_config_head head, cw_time_point deadline) {
+boost::asio::awaitable<cw_result<cw_loaded_config>> cw_config_source::load(cw_config_head head,
+                                                                           cw_time_point deadline) {
     std::map<std::string, std::string> kept;
     std::vector<cw_config_file> files;
     for (const auto& [name, digest] : head.parts) {
@@ -28,8 +28,8 @@
                 co_return tl::unexpected(value.error());
             }
             if (cw_config_digest(value->value) != digest) {
-                co_return tl::unexpected(
-                    cw_error{"load config", "store", "part " + name + " does not match its digest"});
+                co_return tl::unexpected(cw_error{"load config", "store",
+                                                  "part " + name + " does not match its digest"});
             }
             known = parts_.emplace(digest, value->value).first;
         }
--- a/Source/cw_hold_book.cpp
+++ b/Source/cw_hold_book.cpp
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 
-bool cw_hold_book::add(const cw_ring_member& from, const std::string& upstream,
-                       std::uint64_t nonce, std::uint64_t base_epoch,
-                       cw_time_point now) {
+bool cw_hold_book::add(const cw_ring_member& from, const std::string& upstream, std::uint64_t nonce,
+                       std::uint64_t base_epoch, cw_time_point now) {
     auto& known = holds_[upstream][from];
     if (nonce < known.nonce || (nonce == known.nonce && !known.active)) {
         return false;
--- a/Source/cw_host_list.cpp
+++ b/Source/cw_host_list.cpp
@@ -8,7 +8,7 @@
     cw_host host;
     host.id = item.at("id").get<std::string>();
     host.kind = item.at("kind").get<std::string>() == "upstream" ? cw_host_kind::upstream
-                                                                  : cw_host_kind::entry;
+                                                                 : cw_host_kind::entry;
     host.domain = item.at("domain").get<std::string>();
     host.service = item.value("service", "");
     host.address = item.at("address").get<std::string>();
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -3,8 +3,6 @@
 #include "cw_address.h"
 #include "cw_async.h"
 
-
-
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -57,8 +55,7 @@
     connection = std::make_unique<stream>(context_);
     connection->expires_at(deadline);
     boost::system::error_code failure;
-    co_await connection->async_connect(endpoint->tcp(),
-                                       cw_into(failure));
+    co_await connection->async_connect(endpoint->tcp(), cw_into(failure));
     if (failure) {
         co_return failed("connect", address, failure);
     }
@@ -71,9 +68,10 @@
     co_return response;
 }
 
-net::awaitable<cw_result<cw_http_response>>
-cw_http_client::try_once(stream& connection, const std::string& address,
-                         const cw_http_request& message, cw_time_point deadline) {
+net::awaitable<cw_result<cw_http_response>> cw_http_client::try_once(stream& connection,
+                                                                     const std::string& address,
+                                                                     const cw_http_request& message,
+                                                                     cw_time_point deadline) {
     boost::system::error_code failure;
     connection.expires_at(deadline);
     bytes_ += co_await http::async_write(connection, message, cw_into(failure));
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -30,9 +30,10 @@
 private:
     using stream = boost::beast::tcp_stream;
 
-    boost::asio::awaitable<cw_result<cw_http_response>>
-    try_once(stream& connection, const std::string& address, const cw_http_request& message,
-             cw_time_point deadline);
+    boost::asio::awaitable<cw_result<cw_http_response>> try_once(stream& connection,
+                                                                 const std::string& address,
+                                                                 const cw_http_request& message,
+                                                                 cw_time_point deadline);
     std::unique_ptr<stream> idle_connection(const std::string& address);
 
     boost::asio::io_context& context_;
--- a/Source/cw_http_server.cpp
+++ b/Source/cw_http_server.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -24,15 +23,18 @@
 cw_http_server::cw_http_server(net::io_context& context, const cw_address& address, handler handle)
     : context_{context}, acceptor_{context, address.tcp()}, handle_{std::move(handle)} {}
 
-void cw_http_server::start() { net::co_spawn(context_, accept(), net::detached); }
+void cw_http_server::start() {
+    net::co_spawn(context_, accept(), net::detached);
+}
 
-void cw_http_server::close() { acceptor_.close(); }
+void cw_http_server::close() {
+    acceptor_.close();
+}
 
 net::awaitable<void> cw_http_server::accept() {
     while (acceptor_.is_open()) {
         boost::system::error_code failure;
-        auto socket =
-            co_await acceptor_.async_accept(cw_into(failure));
+        auto socket = co_await acceptor_.async_accept(cw_into(failure));
         if (!failure) {
             socket.set_option(net::ip::tcp::no_delay{true}, failure);
             net::co_spawn(context_, serve(std::move(socket)), net::detached);
--- a/Source/cw_keeper_context.cpp
+++ b/Source/cw_keeper_context.cpp
@@ -27,8 +27,7 @@
     return ids;
 }
 
-std::vector<cw_upstream_place>
-cw_keeper_context::live_upstreams(const std::string& service) const {
+std::vector<cw_upstream_place> cw_keeper_context::live_upstreams(const std::string& service) const {
     std::vector<cw_upstream_place> places;
     for (const auto& [id, host] : hosts_) {
         if (host.kind == cw_host_kind::upstream && host.service == service && !host.leaving) {
--- a/Source/cw_keeper_control.cpp
+++ b/Source/cw_keeper_control.cpp
@@ -20,19 +20,19 @@
 class control_state {
 public:
     control_state(cw_kernel& kernel, const cw_keeper_options& options, std::uint64_t incarnation)
-        : kernel_{kernel},
-          core_{cw_ring_member{options.host, incarnation}, options.domain, options.timings} {}
+        : kernel_{kernel}, core_{cw_ring_member{options.host, incarnation}, options.domain,
+                                 options.timings} {}
 
     void handle(caf::event_based_actor* self, const cw_keeper_event& event) {
         const auto now = std::chrono::steady_clock::now();
         auto output = std::make_shared<cw_keeper_output>();
         output->commands = core_.decide(event, now);
-        const bool changed = std::holds_alternative<cw_hosts_event>(event) ||
-                             std::holds_alternative<cw_config_event>(event) ||
-                             std::any_of(output->commands.begin(), output->commands.end(),
-                                         [](const auto& command) {
-                                             return std::holds_alternative<cw_publish_command>(command);
-                                         });
+        const bool changed =
+            std::holds_alternative<cw_hosts_event>(event) ||
+            std::holds_alternative<cw_config_event>(event) ||
+            std::any_of(output->commands.begin(), output->commands.end(), [](const auto& command) {
+                return std::holds_alternative<cw_publish_command>(command);
+            });
         if (changed) {
             add_changes(*output);
         }
@@ -111,13 +111,13 @@
 caf::actor cw_start_keeper_control(cw_kernel& kernel, const cw_keeper_options& options,
                                    std::uint64_t incarnation) {
     auto state = std::make_shared<control_state>(kernel, options, incarnation);
-    return kernel.system().spawn<caf::detached>(
-        [state](caf::event_based_actor* self) -> caf::behavior {
-            self->delayed_send(self, tick_interval, tick_atom::value);
-            return {[state, self](tick_atom) {
-                        self->delayed_send(self, tick_interval, tick_atom::value);
-                        state->handle(self, cw_tick_event{});
-                    },
-                    [state, self](const cw_keeper_event_ptr& event) { state->handle(self, *event); }};
-        });
+    return kernel.system().spawn<caf::detached>([state](
+                                                    caf::event_based_actor* self) -> caf::behavior {
+        self->delayed_send(self, tick_interval, tick_atom::value);
+        return {[state, self](tick_atom) {
+                    self->delayed_send(self, tick_interval, tick_atom::value);
+                    state->handle(self, cw_tick_event{});
+                },
+                [state, self](const cw_keeper_event_ptr& event) { state->handle(self, *event); }};
+    });
 }
--- a/Source/cw_keeper_control.h
+++ b/Source/cw_keeper_control.h
@@ -24,8 +24,8 @@
 
 /// Starts the keeper's control service: the decision code on a thread of its own.
 ///
-/// It takes std::shared_ptr<cw_keeper_event> and sends std::shared_ptr<cw_keeper_output> to the service
-/// named "io".
+/// It takes std::shared_ptr<cw_keeper_event> and sends std::shared_ptr<cw_keeper_output> to the
+/// service named "io".
 [[nodiscard]] caf::actor cw_start_keeper_control(cw_kernel& kernel,
                                                  const cw_keeper_options& options,
                                                  std::uint64_t incarnation);
--- a/Source/cw_keeper_core.cpp
+++ b/Source/cw_keeper_core.cpp
@@ -4,10 +4,12 @@
 
 cw_keeper_core::cw_keeper_core(cw_ring_member self, std::string domain, cw_timings timings)
     : context_{std::move(self), std::move(domain), timings}, membership_{context_},
-      leases_{context_, membership_}, mover_{context_, membership_, leases_},
-      balancer_{context_, membership_, leases_, mover_},
-      condemner_{context_, membership_, leases_, balancer_},
-      releaser_{context_, membership_, balancer_} {}
+      leases_{context_, membership_}, mover_{context_, membership_, leases_}, balancer_{context_,
+                                                                                        membership_,
+                                                                                        leases_,
+                                                                                        mover_},
+      condemner_{context_, membership_, leases_, balancer_}, releaser_{context_, membership_,
+                                                                       balancer_} {}
 
 std::vector<cw_keeper_command> cw_keeper_core::decide(const cw_keeper_event& event,
                                                       cw_time_point now) {
--- a/Source/cw_keeper_core.h
+++ b/Source/cw_keeper_core.h
@@ -13,7 +13,8 @@
 #include <string>
 #include <vector>
 
-/// The keeper's decisions as one deterministic state machine: no threads, sockets, clocks or chance.
+/// The keeper's decisions as one deterministic state machine: no threads, sockets, clocks or
+/// chance.
 ///
 /// `now` must have been read after the event arrived. A shell that is paused between a decision and
 /// the sending of its commands does no harm: every deadline in a command is absolute.
--- a/Source/cw_keeper_event.h
+++ b/Source/cw_keeper_event.h
@@ -55,7 +55,6 @@
 /// The process was told to stop.
 struct cw_stop_event {};
 
-using cw_keeper_event =
-    std::variant<cw_tick_event, cw_hosts_event, cw_config_event, cw_table_event,
-                 cw_ring_event, cw_write_event, cw_peer_message,
-                 cw_lease_reply, cw_router_load_event, cw_stop_event>;
+using cw_keeper_event = std::variant<cw_tick_event, cw_hosts_event, cw_config_event, cw_table_event,
+                                     cw_ring_event, cw_write_event, cw_peer_message, cw_lease_reply,
+                                     cw_router_load_event, cw_stop_event>;
--- a/Source/cw_keeper_io.cpp
+++ b/Source/cw_keeper_io.cpp
@@ -33,15 +33,17 @@
 constexpr auto longest_wait = 20s;
 constexpr std::size_t largest_datagram = 65'000;
 
-auto now() { return std::chrono::steady_clock::now(); }
+auto now() {
+    return std::chrono::steady_clock::now();
+}
 
 } // namespace
 
 cw_keeper_io::cw_keeper_io(net::io_context& context, cw_kernel& kernel,
                            const cw_keeper_options& options, std::uint64_t incarnation)
-    : context_{context}, kernel_{kernel}, options_{options}, incarnation_{incarnation},
-      timeline_{options.host, options.domain, "keeper"}, http_{context}, grants_{context},
-      store_{http_, options.platform}, config_source_{store_},
+    : context_{context}, kernel_{kernel}, options_{options},
+      incarnation_{incarnation}, timeline_{options.host, options.domain, "keeper"}, http_{context},
+      grants_{context}, store_{http_, options.platform}, config_source_{store_},
       server_{context, options.listen,
               [this](cw_http_request request) { return serve(std::move(request)); }},
       peers_{context, options.listen.udp()}, published_{context} {}
@@ -170,8 +172,8 @@
 }
 
 net::awaitable<void> cw_keeper_io::write(cw_write_command command) {
-    const auto outcome = co_await store_.write(command.key, command.value,
-                                               command.expected_version, now() + store_timeout);
+    const auto outcome = co_await store_.write(command.key, command.value, command.expected_version,
+                                               now() + store_timeout);
     deliver(cw_write_event{command.key, command.writer, outcome});
 }
 
@@ -187,7 +189,8 @@
     if (key.starts_with("ring/")) {
         cw_ring empty;
         empty.domain = key.substr(std::string_view{"ring/"}.size());
-        const auto ring = value.version == 0 ? cw_result<cw_ring>{empty} : cw_ring::parse(value.value);
+        const auto ring =
+            value.version == 0 ? cw_result<cw_ring>{empty} : cw_ring::parse(value.value);
         if (ring) {
             deliver(cw_ring_event{*ring, value.version, sent});
         } else {
--- a/Source/cw_kernel.h
+++ b/Source/cw_kernel.h
@@ -7,8 +7,8 @@
 
 /// The micro-kernel of a program: services are actors that find each other by name.
 ///
-/// One service holds the control state on a thread of its own; traffic runs on other threads and reaches
-/// control only by messages. CAF's clustering and I/O modules stay unused.
+/// One service holds the control state on a thread of its own; traffic runs on other threads and
+/// reaches control only by messages. CAF's clustering and I/O modules stay unused.
 class cw_kernel {
 public:
     cw_kernel();
--- a/Source/cw_key_hash.h
+++ b/Source/cw_key_hash.h
@@ -3,7 +3,8 @@
 #include <cstdint>
 #include <string_view>
 
-/// Position of a key on the 64-bit ring. The seed is fixed: every process must agree on it for ever.
+/// Position of a key on the 64-bit ring. The seed is fixed: every process must agree on it for
+/// ever.
 [[nodiscard]] std::uint64_t cw_key_hash(std::string_view key);
 
 /// Weight of a (name, candidate) pair for rendezvous hashing; the highest weight wins.
--- a/Source/cw_lease_keeper.cpp
+++ b/Source/cw_lease_keeper.cpp
@@ -282,8 +282,8 @@
     const bool owns = stored != nullptr && stored->table.fence_of(upstream) != 0;
     if (with_lease && owns) {
         const auto& timings = context_.timings();
-        grant.fence = lease.override_grant ? lease.override_grant->fence
-                                           : stored->table.fence_of(upstream);
+        grant.fence =
+            lease.override_grant ? lease.override_grant->fence : stored->table.fence_of(upstream);
         // The reading was taken no later than it was received, so the deadline falls no later than
         // now + lease however long this message travels.
         grant.deadline = lease.reading + std::chrono::floor<std::chrono::microseconds>(
--- a/Source/cw_lease_keeper.h
+++ b/Source/cw_lease_keeper.h
@@ -38,7 +38,8 @@
     [[nodiscard]] bool may_grant(const std::string& upstream, cw_time_point now) const;
     /// Sends the next exchange at once.
     void hurry(const std::string& upstream);
-    /// Writes the service's table again under a higher epoch, and the upstream's fence unless empty.
+    /// Writes the service's table again under a higher epoch, and the upstream's fence unless
+    /// empty.
     void touch(const std::string& service, const std::string& upstream, std::uint64_t least_epoch,
                cw_time_point now);
     /// Services whose tables this keeper has written since it joined, so that it may grant by them.
--- a/Source/cw_load_audit.cpp
+++ b/Source/cw_load_audit.cpp
@@ -100,8 +100,8 @@
             continue;
         }
         for (const auto& item : items) {
-            journal.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), host.id,
-                               std::chrono::microseconds{item.at(2).get<std::int64_t>()},
+            journal.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
+                               host.id, std::chrono::microseconds{item.at(2).get<std::int64_t>()},
                                std::chrono::microseconds{item.at(3).get<std::int64_t>()},
                                item.at(4).get<bool>()});
         }
--- a/Source/cw_load_audit.h
+++ b/Source/cw_load_audit.h
@@ -22,7 +22,8 @@
 /// What the upstreams' journals say of the recorded outcomes.
 struct cw_load_audit {
     std::size_t journal_entries = 0;
-    /// Answered, yet no upstream committed it. An upstream whose journal was lost accounts for some.
+    /// Answered, yet no upstream committed it. An upstream whose journal was lost accounts for
+    /// some.
     std::size_t answered_without_run = 0;
     /// Refused as `did not run`, yet committed.
     std::size_t false_did_not_run = 0;
--- a/Source/cw_load_report.cpp
+++ b/Source/cw_load_report.cpp
@@ -29,7 +29,8 @@
             if (record->outcome != cw_load_outcome::answered) {
                 since = since.value_or(record->intended);
             } else if (since) {
-                times.push_back(std::chrono::ceil<std::chrono::milliseconds>(record->finished - *since));
+                times.push_back(
+                    std::chrono::ceil<std::chrono::milliseconds>(record->finished - *since));
                 since.reset();
             }
         }
--- a/Source/cw_load_report.h
+++ b/Source/cw_load_report.h
@@ -24,8 +24,8 @@
     double goodput = 0.0;
     /// Busiest upstream's answered requests over the mean.
     double imbalance = 0.0;
-    /// Time for which keys were unavailable: from the intended time of the first request that was not
-    /// answered to the end of the next one that was.
+    /// Time for which keys were unavailable: from the intended time of the first request that was
+    /// not answered to the end of the next one that was.
     std::size_t keys_away = 0;
     std::chrono::milliseconds away_p50{};
     std::chrono::milliseconds away_p99{};
--- a/Source/cw_load_run.cpp
+++ b/Source/cw_load_run.cpp
@@ -51,8 +51,8 @@
 }
 
 net::awaitable<void> cw_load_run::send_all() {
-    const auto count = static_cast<std::size_t>(options_.rate) *
-                       static_cast<std::size_t>(options_.length.count());
+    const auto count =
+        static_cast<std::size_t>(options_.rate) * static_cast<std::size_t>(options_.length.count());
     const auto interval = std::chrono::nanoseconds{1s} / options_.rate;
     const auto start = std::chrono::steady_clock::now() + start_delay;
     std::bernoulli_distribution is_post{options_.post_share};
@@ -112,9 +112,8 @@
 
 net::awaitable<bool> cw_load_run::exchange(stream& connection, cw_load_record& record) {
     const auto path = path_of(record.key);
-    const auto target = options_.answer_bytes == 0
-                            ? path
-                            : path + "?size=" + std::to_string(options_.answer_bytes);
+    const auto target =
+        options_.answer_bytes == 0 ? path : path + "?size=" + std::to_string(options_.answer_bytes);
     cw_http_request request{record.is_post ? http::verb::post : http::verb::get, target, 11};
     request.set(http::field::host, "load");
     request.set(cw_header_request_id, record.request_id);
--- a/Source/cw_log.cpp
+++ b/Source/cw_log.cpp
@@ -37,7 +37,8 @@
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     settings.setGlobally(el::ConfigurationType::Filename, "/dev/null");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    settings.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+    settings.setGlobally(el::ConfigurationType::Format,
+                         "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
     const auto show = [&](el::Level level, bool shown) {
         settings.set(level, el::ConfigurationType::Enabled, shown ? "true" : "false");
     };
--- a/Source/cw_log.h
+++ b/Source/cw_log.h
@@ -18,7 +18,8 @@
 public:
     explicit cw_log(std::string part) : part_{std::move(part)} {}
 
-    /// Sets up the logging library for the whole process: no file, one format, the least level shown.
+    /// Sets up the logging library for the whole process: no file, one format, the least level
+    /// shown.
     static void set_up(cw_log_level least);
     [[nodiscard]] static cw_log_level parse_level(std::string_view word);
 
--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -9,12 +9,16 @@
 namespace {
 /// Each deputy costs messages, and all must promise; a second one covers the loss of the first.
 constexpr std::size_t most_deputies = 2;
+/// Keepers of other domains that are no deputies send only load reports, every five seconds.
+constexpr std::chrono::seconds newcomer_silence{11};
 } // namespace
 
 cw_membership::cw_membership(cw_keeper_context& context)
     : context_{context}, tenure_{context.timings().tenure} {}
 
-bool cw_membership::is_member() const { return ring_ && ring_->has(context_.self()); }
+bool cw_membership::is_member() const {
+    return ring_ && ring_->has(context_.self());
+}
 
 std::vector<std::string> cw_membership::ring_peers() const {
     std::vector<std::string> peers;
@@ -135,7 +139,9 @@
     }
 }
 
-void cw_membership::on_leave(const cw_ring_member& from) { left_.insert(from); }
+void cw_membership::on_leave(const cw_ring_member& from) {
+    left_.insert(from);
+}
 
 void cw_membership::on_ring(const cw_ring_event& event, cw_time_point now) {
     auto& known_epoch = known_epochs_[event.ring.domain];
@@ -165,7 +171,8 @@
         if (removal) {
             settled_at_ = now + context_.timings().settle();
         }
-        // A write is over once a later record is seen: it either produced that record or lost to it.
+        // A write is over once a later record is seen: it either produced that record or lost to
+        // it.
         pending_.reset();
         hasten_ = false;
         context_.note("ring", context_.domain(),
@@ -213,7 +220,8 @@
         return;
     }
     retired_ = true;
-    // A removal that may still take effect is a right not given up, so peers must not forget this keeper.
+    // A removal that may still take effect is a right not given up, so peers must not forget this
+    // keeper.
     leaving_in_order_ = !pending_.has_value();
     pending_.reset();
     say_leave();
@@ -270,7 +278,8 @@
 void cw_membership::keep_record(cw_time_point now) {
     // The store confirms the tenure whenever the peers do not, with one ask interval to spare.
     const auto margin = now + context_.timings().ask;
-    const auto strictest = owns_release_service() ? cw_cut_off_policy::release : cw_cut_off_policy::hold;
+    const auto strictest =
+        owns_release_service() ? cw_cut_off_policy::release : cw_cut_off_policy::hold;
     if (is_member() && !may_grant(strictest, margin)) {
         read_ring(now);
     }
@@ -302,7 +311,8 @@
 
 bool cw_membership::may_remove(const cw_ring_member& member, cw_time_point now) const {
     const auto known = incarnations_.find(member.host);
-    const bool replaced = known != incarnations_.end() && known->second.incarnation > member.incarnation;
+    const bool replaced =
+        known != incarnations_.end() && known->second.incarnation > member.incarnation;
     return replaced || left_.contains(member) || context_.is_host_gone(member.host, now) ||
            counts_on_me(member, joined_epoch());
 }
@@ -344,22 +354,42 @@
     });
 }
 
-std::vector<std::string> cw_membership::wanted_deputies() const {
+std::vector<std::string> cw_membership::wanted_deputies(cw_time_point now) const {
     const auto* config = context_.config();
     if (config == nullptr || !owns_release_service()) {
         return {};
     }
     const auto* deputy = config->deputy_of(context_.domain());
-    auto hosts = deputy == nullptr ? std::vector<std::string>{} : context_.entry_hosts(deputy->name);
-    hosts.resize(std::min(hosts.size(), most_deputies));
-    return hosts;
+    if (deputy == nullptr) {
+        return {};
+    }
+    // A silent deputy would leave the domain to the store alone; present ones stay while they are
+    // heard.
+    const auto heard_since = [&](const std::string& host, std::chrono::milliseconds patience) {
+        const auto heard = last_heard(host);
+        return now < heard.value_or(started_) + patience;
+    };
+    std::vector<std::string> wanted;
+    for (const auto& host : ring_->deputies) {
+        if (heard_since(host, context_.timings().removal) && context_.host(host) != nullptr) {
+            wanted.push_back(host);
+        }
+    }
+    for (const auto& host : context_.entry_hosts(deputy->name)) {
+        const bool present = std::find(wanted.begin(), wanted.end(), host) != wanted.end();
+        if (wanted.size() < most_deputies && !present && heard_since(host, newcomer_silence)) {
+            wanted.push_back(host);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end());
+    return wanted;
 }
 
 void cw_membership::update_deputies(cw_time_point now) {
     if (pending_ || !is_leader(now)) {
         return;
     }
-    auto wanted = wanted_deputies();
+    auto wanted = wanted_deputies(now);
     if (wanted != ring_->deputies && confirm_store(now)) {
         auto next = *ring_;
         ++next.epoch;
--- a/Source/cw_membership.h
+++ b/Source/cw_membership.h
@@ -15,8 +15,8 @@
 /// Membership of this keeper in its domain's ring, and the tenure that follows from it.
 ///
 /// A member may be removed only by a peer from which the member itself has asked promises, or once
-/// the member is proved gone. The remover stops promising before it writes, and nothing that depends
-/// on the removal happens before cw_timings::settle has passed since the write was seen.
+/// the member is proved gone. The remover stops promising before it writes, and nothing that
+/// depends on the removal happens before cw_timings::settle has passed since the write was seen.
 class cw_membership {
 public:
     explicit cw_membership(cw_keeper_context& context);
@@ -76,7 +76,7 @@
     void resend_write(cw_time_point now);
     [[nodiscard]] std::vector<std::string> ring_peers() const;
     [[nodiscard]] bool may_remove(const cw_ring_member& member, cw_time_point now) const;
-    [[nodiscard]] std::vector<std::string> wanted_deputies() const;
+    [[nodiscard]] std::vector<std::string> wanted_deputies(cw_time_point now) const;
     [[nodiscard]] bool owns_release_service() const;
 
     struct pending_write {
--- a/Source/cw_mover.cpp
+++ b/Source/cw_mover.cpp
@@ -11,9 +11,8 @@
     : context_{context}, membership_{membership}, leases_{leases} {}
 
 bool cw_mover::is_idle(const std::string& service) const {
-    return std::none_of(handovers_.begin(), handovers_.end(), [&](const auto& entry) {
-        return entry.second.service == service;
-    });
+    return std::none_of(handovers_.begin(), handovers_.end(),
+                        [&](const auto& entry) { return entry.second.service == service; });
 }
 
 void cw_mover::start(const std::string& upstream, std::vector<cw_slice_move> moves,
--- a/Source/cw_mover.h
+++ b/Source/cw_mover.h
@@ -17,9 +17,9 @@
 
 /// Planned moves: an upstream that answers gives slices up, then the table is written.
 ///
-/// The upstream confirms the smaller set of slices under a fence above every earlier one, so grants of
-/// other keepers by the old table are refused. An upstream that does not check fences would obey them;
-/// for such a one all other members confirm a hold first.
+/// The upstream confirms the smaller set of slices under a fence above every earlier one, so grants
+/// of other keepers by the old table are refused. An upstream that does not check fences would obey
+/// them; for such a one all other members confirm a hold first.
 class cw_mover {
 public:
     cw_mover(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases);
--- a/Source/cw_peer_codec.cpp
+++ b/Source/cw_peer_codec.cpp
@@ -91,9 +91,8 @@
         if (kind >= std::variant_size_v<cw_peer_body>) {
             return tl::unexpected(cw_error{"decode message", "", "unknown kind"});
         }
-        return cw_peer_message{
-            {parsed.at(0).get<std::string>(), parsed.at(1).get<std::uint64_t>()},
-            read_body(kind, parsed.at(3))};
+        return cw_peer_message{{parsed.at(0).get<std::string>(), parsed.at(1).get<std::uint64_t>()},
+                               read_body(kind, parsed.at(3))};
     } catch (const json::exception& failure) {
         return tl::unexpected(cw_error{"decode message", "", failure.what()});
     }
--- a/Source/cw_planner.cpp
+++ b/Source/cw_planner.cpp
@@ -55,7 +55,8 @@
     return static_cast<std::size_t>(std::max_element(loads.begin(), loads.end()) - loads.begin());
 }
 
-/// The slice of `owned` whose move to the target leaves the lower maximum of the two; none if no move helps.
+/// The slice of `owned` whose move to the target leaves the lower maximum of the two; none if no
+/// move helps.
 std::optional<std::size_t> best_slice(const std::vector<cw_slice>& owned,
                                       const slice_weigher& weigh, double source, double target) {
     std::optional<std::size_t> best;
@@ -124,8 +125,8 @@
     }
     const slice_weigher weigh{loads};
     auto totals = upstream_loads(table, loads, candidates);
-    const auto mean = std::accumulate(totals.begin(), totals.end(), 0.0) /
-                      static_cast<double>(candidates.size());
+    const auto mean =
+        std::accumulate(totals.begin(), totals.end(), 0.0) / static_cast<double>(candidates.size());
     const auto source = most(totals);
     auto owned = table.owned_by(candidates[source].id);
     while (moves.size() < limits.most_moves && totals[source] > mean * limits.imbalance_bound) {
--- a/Source/cw_planner.h
+++ b/Source/cw_planner.h
@@ -28,8 +28,9 @@
     replace(const cw_slice_table& table, const cw_slice_loads& loads,
             std::span<const std::string> lost, std::span<const cw_upstream_place> candidates);
 
-    /// The fewest moves away from the busiest upstream that bring it towards the bound. A slice that
-    /// is hot by itself is left alone and its neighbours are moved instead; a wide hot slice is split.
+    /// The fewest moves away from the busiest upstream that bring it towards the bound. A slice
+    /// that is hot by itself is left alone and its neighbours are moved instead; a wide hot slice
+    /// is split.
     [[nodiscard]] static std::vector<cw_slice_move>
     balance(const cw_slice_table& table, const cw_slice_loads& loads,
             std::span<const cw_upstream_place> candidates, const cw_plan_limits& limits);
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -32,13 +32,15 @@
 constexpr auto slot_poll = 1ms;
 constexpr auto longest_deadline = 24h;
 /// Bodies up to this size are held whole.
-constexpr std::uint64_t largest_held_body = 256 * 1024;
-constexpr std::size_t stream_chunk = 64 * 1024;
+constexpr std::uint64_t largest_held_body = 262'144;
+constexpr std::size_t stream_chunk = 65'536;
 /// A lost upstream's keys are served again after about this long.
 constexpr std::int64_t return_after_loss_ms = 600;
 constexpr std::int64_t return_when_busy_ms = 100;
 
-auto now() { return std::chrono::steady_clock::now(); }
+auto now() {
+    return std::chrono::steady_clock::now();
+}
 
 std::int64_t spread(std::int64_t base) {
     thread_local std::minstd_rand engine{std::random_device{}()};
@@ -74,7 +76,8 @@
     if (failure == boost::beast::error::timeout) {
         return cw_attempt_result::timed_out;
     }
-    if (failure == http::error::end_of_stream || failure.category() == net::error::get_system_category()) {
+    if (failure == http::error::end_of_stream ||
+        failure.category() == net::error::get_system_category()) {
         return cw_attempt_result::connection_lost;
     }
     return failure == http::error::partial_message ? cw_attempt_result::connection_lost
@@ -115,7 +118,8 @@
     : traffic_{traffic}, caller_{std::move(socket)} {}
 
 net::awaitable<void> cw_proxy_session::run(std::unique_ptr<cw_proxy_session> session) {
-    // The result is kept in a variable: g++ 12 miscompiles a loop whose condition awaits and whose body is empty.
+    // The result is kept in a variable: g++ 12 miscompiles a loop whose condition awaits and whose
+    // body is empty.
     bool open = true;
     while (open) {
         open = co_await session->serve_one();
@@ -145,7 +149,7 @@
         co_return false;
     }
     const bool intact = co_await forward(current);
-    co_return intact && keep_alive && !traffic_.shared.is_stopping() &&
+    co_return intact&& keep_alive && !traffic_.shared.is_stopping() &&
         current.streamed_body == nullptr;
 }
 
@@ -200,8 +204,8 @@
     }
     auto route = current.view->find(path);
     if (!route) {
-        current.answer = cw_make_response(http::status::not_found, route.error().text() + "\n",
-                                          "text/plain");
+        current.answer =
+            cw_make_response(http::status::not_found, route.error().text() + "\n", "text/plain");
         co_return co_await answer(current, cw_outcome::did_not_run);
     }
     current.route = *route;
@@ -227,7 +231,8 @@
         case cw_next_step::retry_elsewhere:
             break;
         }
-        // Asking the same owner again is of no use when it cannot be reached or says it is not the owner.
+        // Asking the same owner again is of no use when it cannot be reached or says it is not the
+        // owner.
         const bool needs_new_owner = result == cw_attempt_result::not_connected ||
                                      result == cw_attempt_result::refused_not_owner;
         if (current.route.slice != nullptr && needs_new_owner) {
@@ -245,7 +250,7 @@
 }
 
 net::awaitable<bool> cw_proxy_session::wait_for_newer_view(exchange& current,
-                                                            cw_attempt_result result) {
+                                                           cw_attempt_result result) {
     // A new owner that refuses may just not have its grant yet, so it is asked again soon.
     const auto patience =
         result == cw_attempt_result::refused_not_owner ? owner_retry : longest_view_wait;
@@ -442,7 +447,8 @@
     }
     current.answer = whole.release();
     if (const auto refused = refusal_of(current.answer)) {
-        current.reason = "refused by the upstream: " + std::string{current.answer[cw_header_refused]};
+        current.reason =
+            "refused by the upstream: " + std::string{current.answer[cw_header_refused]};
         co_return *refused;
     }
     co_return cw_attempt_result::answered;
--- a/Source/cw_proxy_session.h
+++ b/Source/cw_proxy_session.h
@@ -31,11 +31,12 @@
     cw_retry_budget budget;
 };
 
-/// One caller's connection: reads requests, has each run by the upstream that owns its key, and answers.
+/// One caller's connection: reads requests, has each run by the upstream that owns its key, and
+/// answers.
 ///
-/// Small bodies are held whole, so a request can be sent again where that is safe and an answer is passed
-/// on only when all of it has arrived. Large bodies are streamed in bounded memory; when one breaks off,
-/// the caller's connection is closed before its announced end.
+/// Small bodies are held whole, so a request can be sent again where that is safe and an answer is
+/// passed on only when all of it has arrived. Large bodies are streamed in bounded memory; when one
+/// breaks off, the caller's connection is closed before its announced end.
 class cw_proxy_session {
 public:
     cw_proxy_session(cw_traffic_context& traffic, boost::asio::ip::tcp::socket socket);
@@ -44,8 +45,7 @@
     static boost::asio::awaitable<void> run(std::unique_ptr<cw_proxy_session> session);
 
 private:
-    using header_parser =
-        boost::beast::http::request_parser<boost::beast::http::empty_body>;
+    using header_parser = boost::beast::http::request_parser<boost::beast::http::empty_body>;
 
     /// One request on its way.
     struct exchange {
@@ -80,8 +80,7 @@
                   boost::beast::flat_buffer& buffer, Parser& head);
     boost::asio::awaitable<bool> stream_request(exchange& current,
                                                 cw_upstream_pool::stream& upstream);
-    boost::asio::awaitable<bool> wait_for_newer_view(exchange& current,
-                                                      cw_attempt_result result);
+    boost::asio::awaitable<bool> wait_for_newer_view(exchange& current, cw_attempt_result result);
     boost::asio::awaitable<bool> choose_upstream(exchange& current);
     boost::asio::awaitable<bool> answer(exchange& current, cw_outcome outcome);
     boost::asio::awaitable<bool> answer_refusal(exchange& current, cw_outcome outcome);
--- a/Source/cw_releaser.cpp
+++ b/Source/cw_releaser.cpp
@@ -70,10 +70,9 @@
 }
 
 bool cw_releaser::is_silent(const ward& state, cw_time_point now) const {
-    return std::none_of(state.ring->members.begin(), state.ring->members.end(),
-                        [&](const cw_ring_member& member) {
-                            return membership_.is_alive(member.host, now);
-                        });
+    return std::none_of(
+        state.ring->members.begin(), state.ring->members.end(),
+        [&](const cw_ring_member& member) { return membership_.is_alive(member.host, now); });
 }
 
 bool cw_releaser::may_release(const ward& state, cw_time_point now) const {
@@ -95,9 +94,10 @@
         if (config == nullptr || config->cut_off != cw_cut_off_policy::release) {
             continue;
         }
-        const auto& owners = stored.table.owners();
+        const auto& table = stored.table;
+        const auto& owners = table.owners();
         if (std::any_of(owners.begin(), owners.end(), [&](const auto& entry) {
-                return entry.second.domain == domain && stored.table.owns_slices(entry.first);
+                return entry.second.domain == domain && table.owns_slices(entry.first);
             })) {
             names.push_back(service);
         }
--- a/Source/cw_releaser.h
+++ b/Source/cw_releaser.h
@@ -15,10 +15,10 @@
 
 /// Takes over the services of the `release` policy from a failure domain that has fallen silent.
 ///
-/// This keeper is one of the domain's named deputies. It first stops promising, then marks the services
-/// as released in the domain's ring record, and after cw_timings::settle moves the slices. The domain's
-/// keepers cannot grant without the promise of every deputy or a read of the record, and a released
-/// service only under a later table epoch, with which the move here would fail.
+/// This keeper is one of the domain's named deputies. It first stops promising, then marks the
+/// services as released in the domain's ring record, and after cw_timings::settle moves the slices.
+/// The domain's keepers cannot grant without the promise of every deputy or a read of the record,
+/// and a released service only under a later table epoch, with which the move here would fail.
 class cw_releaser {
 public:
     cw_releaser(cw_keeper_context& context, cw_membership& membership, const cw_balancer& balancer);
--- a/Source/cw_ring.cpp
+++ b/Source/cw_ring.cpp
@@ -24,14 +24,10 @@
     for (const auto& member : members) {
         list.push_back({member.host, member.incarnation});
     }
-    return nlohmann::json{{"domain", domain},
-                          {"epoch", epoch},
-                          {"since", since},
-                          {"deputies_since", deputies_since},
-                          {"members", list},
-                          {"deputies", deputies},
-                          {"released", released},
-                          {"writer", writer}}
+    return nlohmann::json{{"domain", domain},     {"epoch", epoch},
+                          {"since", since},       {"deputies_since", deputies_since},
+                          {"members", list},      {"deputies", deputies},
+                          {"released", released}, {"writer", writer}}
         .dump();
 }
 
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -77,9 +77,9 @@
     std::uint64_t revision = 0;
     while (true) {
         const auto keeper = options_.keepers.at(chosen % options_.keepers.size());
-        const auto target = "/v1/routes?run=" + std::to_string(run) + "&revision=" +
-                            std::to_string(revision) + "&wait_ms=" +
-                            std::to_string(std::chrono::milliseconds{route_wait}.count());
+        const auto target =
+            "/v1/routes?run=" + std::to_string(run) + "&revision=" + std::to_string(revision) +
+            "&wait_ms=" + std::to_string(std::chrono::milliseconds{route_wait}.count());
         cw_http_request request{http::verb::get, target, 11};
         request.set(http::field::host, keeper);
         const auto deadline = std::chrono::steady_clock::now() + route_wait + route_grace;
--- a/Source/cw_router.h
+++ b/Source/cw_router.h
@@ -21,7 +21,8 @@
     explicit cw_router(cw_router_options options);
     ~cw_router();
 
-    /// Runs until SIGTERM or SIGINT; then readiness goes first, requests in flight finish, and it returns.
+    /// Runs until SIGTERM or SIGINT; then readiness goes first, requests in flight finish, and it
+    /// returns.
     void run();
 
 private:
--- a/Source/cw_router_metrics.h
+++ b/Source/cw_router_metrics.h
@@ -33,10 +33,9 @@
 
 private:
     using latencies = boost::accumulators::accumulator_set<
-        double, boost::accumulators::stats<boost::accumulators::tag::count,
-                                           boost::accumulators::tag::mean,
-                                           boost::accumulators::tag::max,
-                                           boost::accumulators::tag::extended_p_square>>;
+        double, boost::accumulators::stats<
+                    boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                    boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
 
     mutable std::mutex mutex_;
     latencies latencies_;
--- a/Source/cw_router_services.cpp
+++ b/Source/cw_router_services.cpp
@@ -37,7 +37,8 @@
 public:
     reporter(cw_router_shared& shared, const cw_router_options& options,
              std::vector<cw_traffic_context*> traffic)
-        : shared_{shared}, client_{options.keeper_rpc, report_timeout}, traffic_{std::move(traffic)} {}
+        : shared_{shared}, client_{options.keeper_rpc, report_timeout}, traffic_{
+                                                                            std::move(traffic)} {}
 
     void report() {
         const auto loads = collect_loads();
@@ -79,12 +80,11 @@
 } // namespace
 
 void cw_start_router_control(cw_kernel& kernel, cw_router_shared& shared) {
-    kernel.add("control", kernel.system().spawn<caf::detached>(
-                              [&shared](caf::event_based_actor*) -> caf::behavior {
-                                  return {[&shared](const std::string& text) {
-                                      take_routes(shared, text);
-                                  }};
-                              }));
+    kernel.add(
+        "control",
+        kernel.system().spawn<caf::detached>([&shared](caf::event_based_actor*) -> caf::behavior {
+            return {[&shared](const std::string& text) { take_routes(shared, text); }};
+        }));
 }
 
 void cw_start_router_report(cw_kernel& kernel, cw_router_shared& shared,
--- a/Source/cw_rpc_client.cpp
+++ b/Source/cw_rpc_client.cpp
@@ -1,8 +1,8 @@
 #include "cw_rpc_client.h"
 
+#include <json/json.h>
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/client/connectors/httpclient.h>
-#include <json/json.h>
 #include <memory>
 
 cw_rpc_client::cw_rpc_client(const std::string& address, std::chrono::milliseconds timeout)
--- a/Source/cw_rpc_client.h
+++ b/Source/cw_rpc_client.h
@@ -9,8 +9,8 @@
     /// `address` is "IP:port" of the server.
     cw_rpc_client(const std::string& address, std::chrono::milliseconds timeout);
 
-    /// Calls a method with parameters as JSON text. Returns true and the result as JSON text, or false and
-    /// the reason.
+    /// Calls a method with parameters as JSON text. Returns true and the result as JSON text, or
+    /// false and the reason.
     bool call(const std::string& method, const std::string& params, std::string& result) const;
 
 private:
--- a/Source/cw_rpc_server.cpp
+++ b/Source/cw_rpc_server.cpp
@@ -1,12 +1,12 @@
 #include "cw_rpc_server.h"
 
+#include <json/json.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/connectors/httpserver.h>
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
-#include <json/json.h>
 #include <stdexcept>
 
 namespace {
@@ -29,8 +29,8 @@
 public:
     implementation(int port, std::map<std::string, method> methods)
         : methods_{std::move(methods)}, server_{port, "", "", server_threads},
-          handler_{jsonrpc::RequestHandlerFactory::createProtocolHandler(
-              jsonrpc::JSONRPC_SERVER_V2, *this)} {
+          handler_{jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2,
+                                                                         *this)} {
         for (const auto& entry : methods_) {
             jsonrpc::Procedure procedure{entry.first, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
                                          NULL};
--- a/Source/cw_rpc_server.h
+++ b/Source/cw_rpc_server.h
@@ -5,11 +5,12 @@
 #include <memory>
 #include <string>
 
-/// A JSON-RPC 2.0 server over HTTP. This header names no type of the library behind it, which is built
-/// under an older language standard than the rest.
+/// A JSON-RPC 2.0 server over HTTP. This header names no type of the library behind it, which is
+/// built under an older language standard than the rest.
 class cw_rpc_server {
 public:
-    /// Takes the parameters and returns the result, both as JSON text. Called from the server's threads.
+    /// Takes the parameters and returns the result, both as JSON text. Called from the server's
+    /// threads.
     using method = std::function<std::string(const std::string&)>;
 
     /// Throws std::runtime_error when the port is taken.
--- a/Source/cw_settings.cpp
+++ b/Source/cw_settings.cpp
@@ -14,7 +14,8 @@
 std::string variable_name(const std::string& setting) {
     std::string name = "CUMINWINCH_" + setting;
     std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
-        return letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+        return letter == '-' ? '_'
+                             : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
     });
     return name;
 }
@@ -38,7 +39,8 @@
 }
 
 tl::unexpected<cw_error> mistake(const std::string& name, const std::string& reason) {
-    return tl::unexpected(cw_error{"settings", "", "--" + name + " (" + variable_name(name) + ") " + reason});
+    return tl::unexpected(
+        cw_error{"settings", "", "--" + name + " (" + variable_name(name) + ") " + reason});
 }
 
 } // namespace
@@ -107,8 +109,7 @@
                .allowed = {"true", "false"}});
 }
 
-void cw_settings::add_rule(
-    std::function<std::optional<std::string>(const cw_settings&)> rule) {
+void cw_settings::add_rule(std::function<std::optional<std::string>(const cw_settings&)> rule) {
     rules_.push_back(std::move(rule));
 }
 
@@ -126,7 +127,8 @@
         break;
     case definition::kind::address:
         if (!cw_address::parse(value) && !(value.empty() && setting.fallback == "")) {
-            return mistake(setting.name, "is \"" + value + "\"; give IP:PORT, such as 127.0.0.1:8080");
+            return mistake(setting.name,
+                           "is \"" + value + "\"; give IP:PORT, such as 127.0.0.1:8080");
         }
         break;
     case definition::kind::number: {
@@ -204,7 +206,7 @@
             } else {
                 return mistake(name, "is missing; it has no default");
             }
-            if (const auto checked = check(*setting, values_[name]); !checked) {
+            if (auto checked = check(*setting, values_[name]); !checked) {
                 return checked;
             }
         }
@@ -214,7 +216,8 @@
             }
         }
     } catch (const cxxopts::exceptions::exception& failure) {
-        return tl::unexpected(cw_error{"settings", "", std::string{failure.what()} + "; see --help"});
+        return tl::unexpected(
+            cw_error{"settings", "", std::string{failure.what()} + "; see --help"});
     }
     return {};
 }
@@ -240,7 +243,9 @@
     return std::nullopt;
 }
 
-const std::string& cw_settings::text(const std::string& name) const { return values_.at(name); }
+const std::string& cw_settings::text(const std::string& name) const {
+    return values_.at(name);
+}
 
 std::int64_t cw_settings::number(const std::string& name) const {
     return parse_number(values_.at(name)).value_or(0);
@@ -250,4 +255,6 @@
     return std::chrono::milliseconds{number(name)};
 }
 
-bool cw_settings::flag(const std::string& name) const { return values_.at(name) == "true"; }
+bool cw_settings::flag(const std::string& name) const {
+    return values_.at(name) == "true";
+}
--- a/Source/cw_settings.h
+++ b/Source/cw_settings.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-/// Settings of one program: flags, and an environment variable for each flag. A flag goes before its variable.
+/// Settings of one program: flags, and an environment variable for each flag. A flag goes before
+/// its variable.
 ///
 /// Every mistake ends in one line that names the setting, its value and what is allowed.
 class cw_settings {
@@ -38,8 +39,8 @@
     /// Words that follow the flags.
     void add_words(const std::string& help);
 
-    /// Reads flags and environment. On a mistake, and after --help, --version and --check, it prints and
-    /// returns the exit code with which the program should end.
+    /// Reads flags and environment. On a mistake, and after --help, --version and --check, it
+    /// prints and returns the exit code with which the program should end.
     [[nodiscard]] std::optional<int> parse(int argc, const char* const* argv);
 
     [[nodiscard]] const std::string& text(const std::string& name) const;
--- a/Source/cw_slice_move.h
+++ b/Source/cw_slice_move.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string>
 
-/// A change of owner for an inclusive range. The range may cover part of a slice, which is then split.
+/// A change of owner for an inclusive range. The range may cover part of a slice, which is then
+/// split.
 struct cw_slice_move {
     std::uint64_t first = 0;
     std::uint64_t last = 0;
--- a/Source/cw_slice_table.cpp
+++ b/Source/cw_slice_table.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-cw_slice_table cw_slice_table::initial(std::string service, std::span<const cw_upstream_place> upstreams,
+cw_slice_table cw_slice_table::initial(std::string service,
+                                       std::span<const cw_upstream_place> upstreams,
                                        std::size_t slices_per_upstream) {
     cw_slice_table table;
     table.service_ = std::move(service);
@@ -59,22 +60,24 @@
         std::uint64_t first = 0;
         for (const auto& item : parsed.at("slices")) {
             const auto last = item.at(0).get<std::uint64_t>();
-            table.slices_.push_back(
-                {first, last, names.at(item.at(1).get<std::size_t>()), item.at(2).get<std::uint64_t>()});
+            table.slices_.push_back({first, last, names.at(item.at(1).get<std::size_t>()),
+                                     item.at(2).get<std::uint64_t>()});
             first = last + 1;
         }
     } catch (const std::exception& failure) {
         return tl::unexpected(cw_error{"parse slice table", "store", failure.what()});
     }
     if (!covers_ring(table.slices_)) {
-        return tl::unexpected(cw_error{"parse slice table", "store", "slices do not cover the ring"});
+        return tl::unexpected(
+            cw_error{"parse slice table", "store", "slices do not cover the ring"});
     }
     return table;
 }
 
 const cw_slice& cw_slice_table::slice_of(std::uint64_t hash) const {
-    return *std::lower_bound(slices_.begin(), slices_.end(), hash,
-                             [](const cw_slice& slice, std::uint64_t at) { return slice.last < at; });
+    return *std::lower_bound(
+        slices_.begin(), slices_.end(), hash,
+        [](const cw_slice& slice, std::uint64_t at) { return slice.last < at; });
 }
 
 std::vector<cw_slice> cw_slice_table::owned_by(std::string_view upstream) const {
@@ -110,8 +113,11 @@
     for (const auto& slice : slices_) {
         slices.push_back({slice.last, numbers.at(slice.owner), slice.generation});
     }
-    return nlohmann::json{
-        {"service", service_}, {"epoch", epoch_}, {"writer", writer_}, {"owners", owners}, {"slices", slices}}
+    return nlohmann::json{{"service", service_},
+                          {"epoch", epoch_},
+                          {"writer", writer_},
+                          {"owners", owners},
+                          {"slices", slices}}
         .dump();
 }
 
--- a/Source/cw_slice_table.h
+++ b/Source/cw_slice_table.h
@@ -46,11 +46,12 @@
     [[nodiscard]] const cw_slice_owner* owner(const std::string& upstream) const;
     [[nodiscard]] std::string to_json() const;
 
-    /// The table with the given epoch after the moves. Ranges no longer owned by `from` are left alone.
-    /// Pre: epoch is above the present epoch.
+    /// The table with the given epoch after the moves. Ranges no longer owned by `from` are left
+    /// alone. Pre: epoch is above the present epoch.
     [[nodiscard]] cw_slice_table moved(std::span<const cw_slice_move> moves,
                                        std::uint64_t epoch) const;
-    /// The same owners under a higher epoch, and a higher fence for one upstream unless it is empty.
+    /// The same owners under a higher epoch, and a higher fence for one upstream unless it is
+    /// empty.
     [[nodiscard]] cw_slice_table touched(const std::string& upstream, std::uint64_t epoch) const;
 
 private:
--- a/Source/cw_store_client.cpp
+++ b/Source/cw_store_client.cpp
@@ -39,7 +39,8 @@
         co_return cw_store_value{};
     }
     if (response->result() != http::status::ok) {
-        co_return tl::unexpected(cw_error{"store read", address_, "status " + std::to_string(response->result_int())});
+        co_return tl::unexpected(
+            cw_error{"store read", address_, "status " + std::to_string(response->result_int())});
     }
     co_return cw_store_value{version_of(*response), response->body()};
 }
--- a/Source/cw_time.h
+++ b/Source/cw_time.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Time types shared by the whole product. The decision code only receives time points; it never reads a clock.
+/// Time types shared by the whole product. The decision code only receives time points; it never
+/// reads a clock.
 
 #include <chrono>
 
--- a/Source/cw_timeline.cpp
+++ b/Source/cw_timeline.cpp
@@ -36,7 +36,9 @@
              .dump());
 }
 
-void cw_timeline::add_foreign(const nlohmann::json& event) { keep(event.dump()); }
+void cw_timeline::add_foreign(const nlohmann::json& event) {
+    keep(event.dump());
+}
 
 nlohmann::json cw_timeline::after(std::uint64_t sequence) const {
     const std::scoped_lock lock{mutex_};
--- a/Source/cw_timings.h
+++ b/Source/cw_timings.h
@@ -2,7 +2,8 @@
 
 #include <chrono>
 
-/// Intervals and bounds of the ownership protocol. docs/OWNERSHIP.md derives them from the one-second budget.
+/// Intervals and bounds of the ownership protocol. docs/OWNERSHIP.md derives them from the
+/// one-second budget.
 struct cw_timings {
     /// Interval between two lease renewals of one upstream.
     std::chrono::milliseconds renewal{180};
@@ -20,8 +21,8 @@
     std::chrono::milliseconds removal{1500};
     /// Time a keeper waits before it repeats a store operation without a reply.
     std::chrono::milliseconds store_retry{100};
-    /// Age up to which a read shows that the store answers. Nothing that an outage would leave half done is
-    /// begun without such a read.
+    /// Age up to which a read shows that the store answers. Nothing that an outage would leave half
+    /// done is begun without such a read.
     std::chrono::milliseconds store_freshness{400};
     /// Allowance for the difference of two clocks' rates over one lease.
     std::chrono::milliseconds drift{5};
--- a/Source/cw_traffic_thread.cpp
+++ b/Source/cw_traffic_thread.cpp
@@ -21,7 +21,9 @@
     acceptor_.listen();
 }
 
-cw_traffic_thread::~cw_traffic_thread() { stop(); }
+cw_traffic_thread::~cw_traffic_thread() {
+    stop();
+}
 
 void cw_traffic_thread::start() {
     net::co_spawn(context_, accept(), net::detached);
--- a/Source/cw_upstream_lease.h
+++ b/Source/cw_upstream_lease.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-/// A fence and a set of slices that are granted in place of what the table says, during a hand-over.
+/// A fence and a set of slices that are granted in place of what the table says, during a
+/// hand-over.
 struct cw_grant_override {
     std::uint64_t fence = 0;
     std::vector<cw_slice> slices;
--- a/Source/cw_upstream_pool.h
+++ b/Source/cw_upstream_pool.h
@@ -9,14 +9,16 @@
 
 /// Idle connections of one traffic thread to upstreams.
 ///
-/// Only a connection whose last answer was whole comes back here, so no late answer can meet another request.
+/// Only a connection whose last answer was whole comes back here, so no late answer can meet
+/// another request.
 class cw_upstream_pool {
 public:
     using stream = boost::beast::tcp_stream;
 
     explicit cw_upstream_pool(boost::asio::io_context& context) : context_{context} {}
 
-    /// An idle connection that the upstream has not closed and that holds no unread bytes; else null.
+    /// An idle connection that the upstream has not closed and that holds no unread bytes; else
+    /// null.
     [[nodiscard]] std::unique_ptr<stream> take(const std::string& address);
     [[nodiscard]] std::unique_ptr<stream> make() { return std::make_unique<stream>(context_); }
     void put_back(const std::string& address, std::unique_ptr<stream> connection);
--- a/Source/cw_zipf.cpp
+++ b/Source/cw_zipf.cpp
@@ -15,7 +15,6 @@
 std::uint32_t cw_zipf::draw(std::mt19937_64& engine) const {
     std::uniform_real_distribution<double> uniform{0.0, cumulative_.back()};
     const auto found = std::upper_bound(cumulative_.begin(), cumulative_.end(), uniform(engine));
-    return static_cast<std::uint32_t>(
-        std::min<std::ptrdiff_t>(found - cumulative_.begin(),
-                                 static_cast<std::ptrdiff_t>(cumulative_.size()) - 1));
+    return static_cast<std::uint32_t>(std::min<std::ptrdiff_t>(
+        found - cumulative_.begin(), static_cast<std::ptrdiff_t>(cumulative_.size()) - 1));
 }
--- /dev/null
+++ b/Standins/cuminwinch_standin_link.cpp
@@ -0,0 +1,41 @@
+/// cuminwinch-standin-link: a TCP link that SIGUSR1 cuts and SIGUSR2 restores.
+
+#include "cw_link_standin.h"
+#include "cw_settings.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <exception>
+#include <functional>
+#include <iostream>
+
+int main(int argc, char** argv) {
+    cw_settings settings{"cuminwinch-standin-link", "Plays a network link that can be cut."};
+    settings.add_address("listen", "IP:PORT to listen on");
+    settings.add_address("to", "IP:PORT to forward to");
+    if (const auto code = settings.parse(argc, argv)) {
+        return *code;
+    }
+    try {
+        boost::asio::io_context context{1};
+        cw_link_standin link{context, *cw_address::parse(settings.text("listen")),
+                             *cw_address::parse(settings.text("to"))};
+        link.start();
+        boost::asio::signal_set signals{context, SIGUSR1, SIGUSR2, SIGTERM};
+        std::function<void(const boost::system::error_code&, int)> handle =
+            [&](const boost::system::error_code&, int number) {
+                if (number == SIGTERM) {
+                    context.stop();
+                    return;
+                }
+                link.set_cut(number == SIGUSR1);
+                signals.async_wait(handle);
+            };
+        signals.async_wait(handle);
+        context.run();
+    } catch (const std::exception& failure) {
+        std::cerr << "cuminwinch-standin-link: start: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
--- a/Standins/cuminwinch_standin_platform.cpp
+++ b/Standins/cuminwinch_standin_platform.cpp
@@ -1,4 +1,5 @@
-/// cuminwinch-standin-platform: a fake of the platform's store and host list, for tests and demonstrations.
+/// cuminwinch-standin-platform: a fake of the platform's store and host list, for tests and
+/// demonstrations.
 
 #include "cw_settings.h"
 #include "cw_store_standin.h"
@@ -9,7 +10,8 @@
 #include <iostream>
 
 int main(int argc, char** argv) {
-    cw_settings settings{"cuminwinch-standin-platform", "Plays the platform's store and host list."};
+    cw_settings settings{"cuminwinch-standin-platform",
+                         "Plays the platform's store and host list."};
     settings.add_address("listen", "IP:PORT of the HTTP interface");
     if (const auto code = settings.parse(argc, argv)) {
         return *code;
--- a/Standins/cuminwinch_standin_upstream.cpp
+++ b/Standins/cuminwinch_standin_upstream.cpp
@@ -17,11 +17,13 @@
 using namespace std::chrono_literals;
 constexpr auto linger = 1s;
 
-boost::asio::awaitable<void> drain(boost::asio::io_context& context, cw_upstream_standin& upstream) {
+boost::asio::awaitable<void> drain(boost::asio::io_context& context,
+                                   cw_upstream_standin& upstream) {
     upstream.begin_drain();
     boost::asio::steady_timer timer{context};
     auto drained_since = std::chrono::steady_clock::now();
-    // A keeper elsewhere may not have heard yet and may still hand a slice over, which is given up again.
+    // A keeper elsewhere may not have heard yet and may still hand a slice over, which is given up
+    // again.
     while (std::chrono::steady_clock::now() < drained_since + linger) {
         if (!upstream.is_drained()) {
             drained_since = std::chrono::steady_clock::now();
@@ -40,7 +42,8 @@
     settings.add_text("id", "Id in the platform's host list");
     settings.add_address("listen", "IP:PORT of the HTTP interface");
     settings.add_choice("keyed", "Whether keys have owners", {"true", "false"}, "true");
-    settings.add_choice("checks-fences", "Whether old fences are refused", {"true", "false"}, "true");
+    settings.add_choice("checks-fences", "Whether old fences are refused", {"true", "false"},
+                        "true");
     settings.add_number("slots", "Requests that run at once", 1, 10'000, 3);
     settings.add_number("work-ms", "Time that one request runs", 0, 600'000, 2);
     settings.add_number("cold-ms", "Time of slow running after the start", 0, 600'000, 0);
--- a/Standins/cw_lease_holder.h
+++ b/Standins/cw_lease_holder.h
@@ -8,7 +8,8 @@
 #include <cstdint>
 #include <vector>
 
-/// The upstream's side of the lease protocol: what docs/UPSTREAMS.md asks of a server that holds keys.
+/// The upstream's side of the lease protocol: what docs/UPSTREAMS.md asks of a server that holds
+/// keys.
 class cw_lease_holder {
 public:
     cw_lease_holder(std::uint64_t incarnation, bool checks_fences)
--- /dev/null
+++ b/Standins/cw_link_standin.cpp
@@ -0,0 +1,73 @@
+#include "cw_link_standin.h"
+
+#include "cw_async.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace net = boost::asio;
+
+namespace {
+constexpr std::size_t chunk_size = 16'384;
+} // namespace
+
+cw_link_standin::cw_link_standin(net::io_context& context, const cw_address& listen,
+                                 const cw_address& target)
+    : context_{context}, acceptor_{context, listen.tcp()}, target_{target}, restored_{context} {}
+
+void cw_link_standin::start() {
+    net::co_spawn(context_, accept(), net::detached);
+}
+
+void cw_link_standin::set_cut(bool cut) {
+    cut_ = cut;
+    restored_.cancel();
+}
+
+net::awaitable<void> cw_link_standin::accept() {
+    while (true) {
+        auto caller = std::make_shared<net::ip::tcp::socket>(context_);
+        boost::system::error_code failure;
+        co_await acceptor_.async_accept(*caller, cw_into(failure));
+        if (!failure) {
+            net::co_spawn(context_, connect(std::move(caller)), net::detached);
+        }
+    }
+}
+
+net::awaitable<void> cw_link_standin::wait_until_whole() {
+    while (cut_) {
+        restored_.expires_at(net::steady_timer::time_point::max());
+        boost::system::error_code failure;
+        co_await restored_.async_wait(cw_into(failure));
+    }
+}
+
+net::awaitable<void> cw_link_standin::connect(socket_ptr caller) {
+    co_await wait_until_whole();
+    auto target = std::make_shared<net::ip::tcp::socket>(context_);
+    boost::system::error_code failure;
+    co_await target->async_connect(target_.tcp(), cw_into(failure));
+    if (failure) {
+        co_return;
+    }
+    net::co_spawn(context_, pump(caller, target), net::detached);
+    co_await pump(target, caller);
+}
+
+net::awaitable<void> cw_link_standin::pump(socket_ptr from, socket_ptr to) {
+    std::array<char, chunk_size> chunk{};
+    boost::system::error_code failure;
+    while (!failure) {
+        const auto size = co_await from->async_read_some(net::buffer(chunk), cw_into(failure));
+        co_await wait_until_whole();
+        if (!failure) {
+            co_await net::async_write(*to, net::buffer(chunk.data(), size), cw_into(failure));
+        }
+    }
+    boost::system::error_code ignored;
+    from->close(ignored);
+    to->close(ignored);
+}
--- a/Standins/cw_store_standin.cpp
+++ b/Standins/cw_store_standin.cpp
@@ -24,9 +24,10 @@
 } // namespace
 
 cw_store_standin::cw_store_standin(net::io_context& context, const cw_address& address)
-    : context_{context},
-      server_{context, address,
-              [this](cw_http_request request) { return serve(std::move(request)); }},
+    : context_{context}, server_{context, address,
+                                 [this](cw_http_request request) {
+                                     return serve(std::move(request));
+                                 }},
       changed_{context} {}
 
 net::awaitable<void> cw_store_standin::wait(std::chrono::milliseconds length) {
@@ -90,8 +91,8 @@
     }
     const auto after = cw_query_number(target, "after", 0);
     const std::chrono::milliseconds asked{cw_query_number(target, "wait_ms", 0)};
-    const auto until = std::chrono::steady_clock::now() +
-                       std::min<std::chrono::milliseconds>(asked, longest_wait);
+    const auto until =
+        std::chrono::steady_clock::now() + std::min<std::chrono::milliseconds>(asked, longest_wait);
     most_waiting_ = std::max(most_waiting_, ++waiting_);
     while (values_[key].version <= after && std::chrono::steady_clock::now() < until && up_) {
         changed_.expires_at(until);
@@ -170,7 +171,8 @@
 cw_http_response cw_store_standin::serve_control(const cw_http_request& request) {
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     if (!body.is_object()) {
-        return plain(http::status::bad_request, "POST {\"up\", \"delay_ms\", \"lost_reply_share\"}");
+        return plain(http::status::bad_request,
+                     "POST {\"up\", \"delay_ms\", \"lost_reply_share\"}");
     }
     up_ = body.value("up", up_);
     delay_ = std::chrono::milliseconds{body.value("delay_ms", delay_.count())};
--- a/Standins/cw_store_standin.h
+++ b/Standins/cw_store_standin.h
@@ -13,8 +13,8 @@
 #include <random>
 #include <string>
 
-/// A small fake of the platform: an object store with versions, conditional updates and watches, and a host
-/// list. Faults are switched on over HTTP. It keeps everything in memory.
+/// A small fake of the platform: an object store with versions, conditional updates and watches,
+/// and a host list. Faults are switched on over HTTP. It keeps everything in memory.
 class cw_store_standin {
 public:
     cw_store_standin(boost::asio::io_context& context, const cw_address& address);
--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -50,9 +50,10 @@
 } // namespace
 
 cw_upstream_standin::cw_upstream_standin(net::io_context& context, cw_upstream_options options)
-    : context_{context}, options_{std::move(options)},
-      server_{context, options_.listen,
-              [this](cw_http_request request) { return serve(std::move(request)); }},
+    : context_{context}, options_{std::move(options)}, server_{context, options_.listen,
+                                                               [this](cw_http_request request) {
+                                                                   return serve(std::move(request));
+                                                               }},
       holder_{new_incarnation(), options_.checks_fences}, started_{clock_reading()} {}
 
 void cw_upstream_standin::begin_drain() {
@@ -60,7 +61,9 @@
     holder_.set_draining(true);
 }
 
-bool cw_upstream_standin::is_drained() const { return running_.empty() && holder_.slices().empty(); }
+bool cw_upstream_standin::is_drained() const {
+    return running_.empty() && holder_.slices().empty();
+}
 
 net::awaitable<void> cw_upstream_standin::wait(std::chrono::milliseconds length) {
     net::steady_timer timer{context_, length};
--- /dev/null
+++ b/Tests/Estate/demo.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# Both deployments of the brief in small: starts them, sends traffic, kills one upstream, and judges.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+ESTATE_BIN=$1
+ESTATE_BASE=${ESTATE_BASE:-23000}
+ESTATE_LOGS=$(mktemp -d)
+. "$here/estate.sh"
+results=$(mktemp -d)
+failed=0
+
+# deploy FIRM KEYED KEYED UNKEYED SLOTS DOMAIN...: the upstreams and entry hosts of one firm.
+deploy() {
+    local firm=$1 wide=$2 narrow=$3 pool=$4 slots=$5 domain i fences
+    shift 5
+    fences=$([ "$firm" = balkanski ] && echo false || echo true)
+    for domain in "$@"; do
+        for i in 1 2 3; do estate_upstream "$wide-$domain-$i" "$domain" "$wide" --slots "$slots"; done
+        for i in 1 2; do
+            estate_upstream "$narrow-$domain-$i" "$domain" "$narrow" --slots "$slots" --checks-fences "$fences"
+            estate_upstream "$pool-$domain-$i" "$domain" "$pool" --slots "$slots" --keyed false
+        done
+    done
+    ESTATE_ROUTERS=()
+    for domain in "$@"; do
+        for i in 1 2 3; do estate_entry_host "entry-$domain-$i" "$domain"; done
+    done
+    declare -g "routers_$firm=$(estate_routers)"
+}
+
+# load NAME ROUTERS PREFIX RATE: starts load in the background.
+load() {
+    "$ESTATE_BIN/cuminwinch-load" --targets "$2" --platform "$PLATFORM" --prefix "$3" --rate "$4" \
+        --seconds 8 --keys 60 --zipf-percent 60 >"$results/$1" 2>&1 &
+    loads+=($!)
+}
+
+field() { sed -n "s/^ *\"$2\": \([0-9.]*\),*$/\1/p" "$results/$1"; }
+
+echo "Starting both firms on stand-ins; logs are in memory only."
+estate_platform
+estate_client apply "$here/../../Examples/estate" --author demo || exit 1
+deploy hayashida gallery booking archive 3 hakata kokura kurume tenjin
+deploy balkanski catalogue orders exports 6 iskar lozenets mladost vitosha
+estate_ready gallery booking catalogue orders || exit 1
+echo "Processes: ${#ESTATE_PIDS[@]}"
+echo; echo "Owners of the galleries before:"; estate_client owners gallery
+loads=()
+load gallery "$routers_hayashida" /gallery/ 300
+load booking "$routers_hayashida" /booking/ 60
+load archive "$routers_hayashida" /archive/ 60
+load catalogue "$routers_balkanski" /catalogue/ 300
+load orders "$routers_balkanski" /orders/ 60
+load exports "$routers_balkanski" /exports/ 60
+sleep 3
+victim=gallery-hakata-1
+echo; echo "Killing $victim under load."
+kill -KILL "${ESTATE_PIDS[$victim]}"
+for id in "${loads[@]}"; do wait "$id" || failed=1; done
+echo; echo "Owners of the galleries after:"; estate_client owners gallery
+echo; echo "What happened:"
+estate_client timeline | grep -E 'upstream-|slices-|domain-|member-' | tail -12
+echo
+printf '%-10s %8s %8s %8s %9s %9s %9s %8s %7s %9s\n' service requests answered refused unknown p50-us p99-us away-ms doubled two-owner
+for service in gallery booking archive catalogue orders exports; do
+    printf '%-10s %8s %8s %8s %9s %9s %9s %8s %7s %9s\n' "$service" "$(field $service requests)" \
+        "$(field $service answered)" "$(field $service did_not_run)" "$(field $service unknown)" \
+        "$(field $service p50_us)" "$(field $service p99_us)" "$(field $service away_max_ms)" \
+        "$(field $service doubled)" "$(field $service two_owner_moments)"
+    [ "$service" = gallery ] || [ "$(field $service answered)" = "$(field $service requests)" ] || failed=1
+done
+# A key that was away is noticed by its next request, so the rate of the rarest keys adds to what is shown.
+[ "$(field gallery away_max_ms)" -le 2000 ] || failed=1
+estate_client owners gallery | grep -q "^$victim .*slices 0 " || failed=1
+rm -rf "$results" "$ESTATE_LOGS"
+if [ "$failed" -eq 0 ]; then
+    echo "VERDICT: held. The lost server's keys are served by others; no answer was wrong, doubled or false."
+else
+    echo "VERDICT: missed."
+fi
+exit $failed
--- /dev/null
+++ b/Tests/Mutations/run_mutations.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Builds each wrong variant of mutations.txt in a scratch folder and shows which schedule catches it.
+# usage: run_mutations.sh [SCHEDULES [NAME...]]; exit code 1 when one is not caught.
+set -u
+top=$(cd "$(dirname "$0")/../.." && pwd)
+schedules=${1:-1200}
+shift || true
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+flags="-std=c++20 -O1 -I$work/Source -I$work/Standins -I$work/Tests/Ownership"
+cp -r "$top/Source" "$top/Standins" "$top/Tests" "$work"
+sources="$(grep -o 'Source/cw_[a-z_]*\.cpp' "$top/CMakeLists.txt" | head -n "$(sed -n '/add_library(cw_decisions/,/)/p' "$top/CMakeLists.txt" | grep -c '\.cpp')") \
+Standins/cw_lease_holder.cpp Tests/Ownership/cw_ownership_bench.cpp Tests/Ownership/cw_random_schedule.cpp \
+Tests/Ownership/cw_random_schedule_main.cpp"
+mkdir "$work/objects"
+cd "$work" || exit 1
+echo "$sources" | tr ' ' '\n' | grep . | xargs -P "$(nproc)" -I{} sh -c \
+    "\${CXX:-g++} $flags -c {} -o objects/\$(basename {} .cpp).o" || exit 1
+
+# catch BINARY: prints the first failing seed of all shards, or nothing.
+catch() {
+    local shards shard
+    shards=$(nproc)
+    for shard in $(seq 0 $((shards - 1))); do
+        "$1" $((1 + shard * (schedules / shards))) $((schedules / shards)) >"$work/out.$shard" &
+    done
+    wait
+    cat "$work"/out.* | grep '^seed' | sort -t' ' -k2 -n | head -1
+}
+
+link() { ${CXX:-g++} objects/*.o -lxxhash -o "$1"; }
+
+link unchanged || exit 1
+found=$(catch ./unchanged)
+if [ -n "$found" ]; then
+    echo "the unchanged code fails: $found"
+    exit 1
+fi
+missed=0
+total=0
+while IFS= read -r line; do
+    case $line in '' | '#'*) continue ;; esac
+    name=${line%% | *}; rest=${line#* | }
+    file=${rest%% | *}; rest=${rest#* | }
+    old=${rest%% | *}; new=${rest#* | }
+    if [ $# -gt 0 ] && ! printf '%s\n' "$@" | grep -qx "$name"; then continue; fi
+    total=$((total + 1))
+    text=$(cat "$top/$file"; printf x)
+    changed=${text/"$old"/"$new"}
+    if [ "$text" = "$changed" ]; then
+        echo "$name: the text to replace is not in $file"
+        missed=$((missed + 1))
+        continue
+    fi
+    printf %s "${changed%x}" >"$work/$file"
+    object=objects/$(basename "$file" .cpp).o
+    cp "$object" saved.o
+    if ${CXX:-g++} $flags -c "$file" -o "$object" && link mutant; then
+        found=$(catch ./mutant)
+        if [ -n "$found" ]; then
+            echo "$name: caught by $found"
+        else
+            echo "$name: NOT CAUGHT by $schedules schedules"
+            missed=$((missed + 1))
+        fi
+    else
+        echo "$name: does not compile"
+        missed=$((missed + 1))
+    fi
+    cp saved.o "$object"
+    cp "$top/$file" "$work/$file"
+done <"$top/Tests/Mutations/mutations.txt"
+echo "mutations $total, not caught $missed"
+[ "$missed" -eq 0 ]
--- a/Tests/Ownership/cw_ownership_bench.cpp
+++ b/Tests/Ownership/cw_ownership_bench.cpp
@@ -92,9 +92,8 @@
 
 cw_time_point cw_ownership_bench::local_time(const keeper_node& node) const {
     const auto elapsed = std::chrono::duration<double, std::nano>(now_.time_since_epoch());
-    return cw_time_point{node.clock.offset +
-                         std::chrono::duration_cast<std::chrono::nanoseconds>(elapsed *
-                                                                              node.clock.rate)};
+    return cw_time_point{node.clock.offset + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                                 elapsed * node.clock.rate)};
 }
 
 cw_upstream_time cw_ownership_bench::local_time(const upstream_node& node) const {
@@ -142,7 +141,9 @@
     cut(other, one);
 }
 
-void cw_ownership_bench::heal() { cuts_.clear(); }
+void cw_ownership_bench::heal() {
+    cuts_.clear();
+}
 
 void cw_ownership_bench::start_keeper(const std::string& name) {
     auto& node = keepers_.at(name);
@@ -263,7 +264,8 @@
     if (is_cut(name, grant.upstream) || chance(options_.drop)) {
         return;
     }
-    schedule(delay(), [this, name, run, upstream_run = upstream->second.run, grant] {
+    const auto slow = chance(slow_grants_) ? std::chrono::milliseconds{engine_() % 430} : 0ms;
+    schedule(delay() + slow, [this, name, run, upstream_run = upstream->second.run, grant] {
         apply_grant(name, run, upstream_run, grant);
     });
 }
@@ -409,6 +411,8 @@
     upstream.alive = true;
     upstream.frozen_until = {};
     upstream.run = ++order_;
+    // The monotonic clock of a host that was started again has nothing to do with its earlier one.
+    upstream.clock = random_clock();
     upstream.holder = std::make_unique<cw_lease_holder>(++order_, options_.checks_fences);
 }
 
@@ -420,6 +424,10 @@
     upstreams_.at(upstream).host.leaving = true;
 }
 
+void cw_ownership_bench::undrain(const std::string& upstream) {
+    upstreams_.at(upstream).host.leaving = false;
+}
+
 std::vector<std::string> cw_ownership_bench::keeper_names() const {
     std::vector<std::string> names;
     for (const auto& [name, node] : keepers_) {
@@ -493,14 +501,13 @@
     const auto* table = stored_table();
     for (const auto& [name, node] : upstreams_) {
         const auto owned = table == nullptr ? 0 : table->owned_by(name).size();
-        lines.push_back(name + (node.alive ? " alive" : " dead") +
-                        (now_ < node.frozen_until ? " frozen" : "") +
-                        (node.holder->is_leased(local_time(node)) ? " leased" : " unleased") +
-                        (node.host.leaving ? " leaving" : "") + ", table gives " +
-                        std::to_string(owned) + ", holds " +
-                        std::to_string(node.holder->slices().size()) + " at fence " +
-                        std::to_string(node.holder->fence()) + " of " +
-                        std::to_string(table == nullptr ? 0 : table->fence_of(name)));
+        lines.push_back(
+            name + (node.alive ? " alive" : " dead") + (now_ < node.frozen_until ? " frozen" : "") +
+            (node.holder->is_leased(local_time(node)) ? " leased" : " unleased") +
+            (node.host.leaving ? " leaving" : "") + ", table gives " + std::to_string(owned) +
+            ", holds " + std::to_string(node.holder->slices().size()) + " at fence " +
+            std::to_string(node.holder->fence()) + " of " +
+            std::to_string(table == nullptr ? 0 : table->fence_of(name)));
     }
     return lines;
 }
--- a/Tests/Ownership/cw_ownership_bench.h
+++ b/Tests/Ownership/cw_ownership_bench.h
@@ -12,8 +12,8 @@
 #include <string>
 #include <vector>
 
-/// Runs several keepers' decision code against fakes of the store, the network and the upstreams, in
-/// virtual time from one seed, and checks after each grant that no position has two owners.
+/// Runs several keepers' decision code against fakes of the store, the network and the upstreams,
+/// in virtual time from one seed, and checks after each grant that no position has two owners.
 class cw_ownership_bench {
 public:
     struct options {
@@ -39,6 +39,10 @@
     void restart(const std::string& node);
     void stop_keeper(const std::string& keeper);
     void drain(const std::string& upstream);
+    /// The host list no longer shows the upstream as leaving.
+    void undrain(const std::string& upstream);
+    /// Delays a share of the grants by up to nearly a lease.
+    void set_slow_grants(double share) { slow_grants_ = share; }
     void add_upstream(const std::string& name, const std::string& domain);
     /// Cuts messages in one direction between two nodes, domains or "store".
     void cut(const std::string& from, const std::string& to);
@@ -116,7 +120,8 @@
                      const cw_lease_grant& grant);
     void write(const std::string& name, const cw_write_command& command);
     void read(const std::string& name, const std::string& key);
-    void tell(const std::string& name, std::uint64_t run, const std::string& key, cw_time_point sent);
+    void tell(const std::string& name, std::uint64_t run, const std::string& key,
+              cw_time_point sent);
     void announce(const std::string& key);
     [[nodiscard]] bool is_cut(const std::string& from, const std::string& to) const;
     [[nodiscard]] std::string domain_of(const std::string& node) const;
@@ -140,6 +145,7 @@
     bool store_up_ = true;
     std::chrono::milliseconds store_lag_{0};
     bool hosts_frozen_ = false;
+    double slow_grants_ = 0.0;
     std::vector<cw_host> listed_;
     std::set<std::pair<std::string, std::string>> cuts_;
     std::shared_ptr<const cw_config> config_;
--- /dev/null
+++ b/Tests/Ownership/cw_planner_test.cpp
@@ -0,0 +1,87 @@
+#include "cw_planner.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <numeric>
+
+namespace {
+
+/// Five upstreams with eight slices each, all equally loaded.
+struct loaded_table {
+    loaded_table() {
+        for (int i = 0; i < 5; ++i) {
+            places.push_back({"u" + std::to_string(i), "d" + std::to_string(i % 2), "x:1"});
+        }
+        table = cw_slice_table::initial("gallery", places, 8);
+        for (const auto& slice : table.slices()) {
+            loads[slice.first] = 10.0;
+        }
+    }
+
+    double imbalance(const cw_slice_table& of) const {
+        const auto totals = cw_planner::upstream_loads(of, loads, places);
+        const auto sum = std::accumulate(totals.begin(), totals.end(), 0.0);
+        return *std::max_element(totals.begin(), totals.end()) *
+               static_cast<double>(totals.size()) / sum;
+    }
+
+    std::vector<cw_upstream_place> places;
+    cw_slice_table table;
+    cw_slice_loads loads;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(loaded_table, "plan_when_balanced_moves_nothing") {
+    CHECK(cw_planner::balance(table, loads, places, {1.15, 10}).empty());
+}
+
+TEST_CASE_FIXTURE(loaded_table, "loss_of_upstream_moves_its_slices_only") {
+    const std::vector<std::string> lost{"u1"};
+    auto rest = places;
+    rest.erase(rest.begin() + 1);
+    const auto moves = cw_planner::replace(table, loads, lost, rest);
+    CHECK(moves.size() == 8);
+    CHECK(std::all_of(moves.begin(), moves.end(),
+                      [](const auto& move) { return move.from == "u1" && move.to.id != "u1"; }));
+    std::map<std::string, int> received;
+    for (const auto& move : moves) {
+        ++received[move.to.id];
+    }
+    CHECK(received.size() == 4);
+    CHECK(std::all_of(received.begin(), received.end(),
+                      [](const auto& entry) { return entry.second == 2; }));
+}
+
+TEST_CASE_FIXTURE(loaded_table, "loss_without_candidates_moves_nothing") {
+    const std::vector<std::string> lost{"u1"};
+    CHECK(cw_planner::replace(table, loads, lost, {}).empty());
+}
+
+TEST_CASE_FIXTURE(loaded_table, "joined_upstream_receives_within_budget") {
+    places.push_back({"u9", "d0", "x:1"});
+    const auto moves = cw_planner::balance(table, loads, places, {1.15, 3});
+    CHECK_FALSE(moves.empty());
+    CHECK(moves.size() <= 3);
+    CHECK(std::all_of(moves.begin(), moves.end(),
+                      [](const auto& move) { return move.to.id == "u9"; }));
+}
+
+TEST_CASE_FIXTURE(loaded_table, "uneven_load_settles_under_bound_in_rounds") {
+    std::size_t rank = 1;
+    for (auto& [first, rate] : loads) {
+        rate = 100.0 / static_cast<double>(rank++);
+    }
+    std::uint64_t epoch = table.epoch();
+    std::size_t moved = 0;
+    for (int round = 0; round < 60; ++round) {
+        const auto moves = cw_planner::balance(table, loads, places, {1.15, 4});
+        if (moves.empty()) {
+            break;
+        }
+        moved += moves.size();
+        table = table.moved(moves, ++epoch);
+    }
+    CHECK(imbalance(table) <= 1.15);
+    CHECK(moved <= table.slices().size());
+}
--- a/Tests/Ownership/cw_random_schedule.cpp
+++ b/Tests/Ownership/cw_random_schedule.cpp
@@ -33,7 +33,7 @@
     fault_source(cw_ownership_bench& bench, std::uint64_t seed) : bench_{bench}, engine_{seed} {}
 
     void apply_one(std::vector<std::string>& actions) {
-        const auto kind = engine_() % 12;
+        const auto kind = engine_() % 15;
         const auto keeper = pick(bench_.keeper_names());
         const auto upstream = pick(bench_.upstream_names());
         const auto length = std::chrono::milliseconds{50 + engine_() % 3000};
@@ -85,6 +85,17 @@
             bench_.drain(upstream);
             text("drain " + upstream);
             break;
+        case 11:
+            swap_drains(upstream);
+            text("drain only " + upstream);
+            break;
+        case 12:
+            split_over_frozen(keeper, upstream, actions);
+            break;
+        case 13:
+            bench_.set_slow_grants(engine_() % 2 == 0 ? 0.0 : 0.2);
+            text("grants slow");
+            break;
         default:
             bench_.stop_keeper(keeper);
             text("stop " + keeper);
@@ -92,7 +103,10 @@
         }
     }
 
-    std::chrono::milliseconds pause() { return std::chrono::milliseconds{engine_() % 900}; }
+    std::chrono::milliseconds pause() {
+        // Faults that follow each other closely meet half-done work.
+        return std::chrono::milliseconds{engine_() % (engine_() % 2 == 0 ? 150 : 900)};
+    }
 
 private:
     template <typename Note>
@@ -112,6 +126,29 @@
         }
     }
 
+    /// One upstream leaves and all others come back, so that slices are handed over again and
+    /// again.
+    void swap_drains(const std::string& upstream) {
+        for (const auto& other : bench_.upstream_names()) {
+            bench_.undrain(other);
+        }
+        bench_.drain(upstream);
+    }
+
+    /// An upstream freezes for about a lease while keepers lose each other.
+    void split_over_frozen(const std::string& keeper, const std::string& upstream,
+                           std::vector<std::string>& actions) {
+        const auto length = std::chrono::milliseconds{200 + engine_() % 700};
+        actions.push_back("freeze " + upstream + " and split " + keeper);
+        bench_.freeze(upstream, length);
+        bench_.run(std::chrono::milliseconds{engine_() % 600});
+        for (const auto& other : bench_.keeper_names()) {
+            if (other != keeper && other.substr(0, 2) == keeper.substr(0, 2)) {
+                bench_.cut_both(keeper, other);
+            }
+        }
+    }
+
     std::string pick(const std::vector<std::string>& names) {
         return names[engine_() % names.size()];
     }
@@ -133,6 +170,7 @@
     }
     bench.heal();
     bench.set_loss_free();
+    bench.set_slow_grants(0.0);
     bench.set_store_up(true);
     bench.set_lag(0ms);
     for (const auto& keeper : bench.keeper_names()) {
--- a/Tests/Ownership/cw_random_schedule_main.cpp
+++ b/Tests/Ownership/cw_random_schedule_main.cpp
@@ -1,4 +1,5 @@
-/// Runs random schedules of faults: cw_random_schedules FIRST COUNT, or one seed with its time line.
+/// Runs random schedules of faults: cw_random_schedules FIRST COUNT, or one seed with its time
+/// line.
 
 #include "cw_random_schedule.h"
 
--- a/Tests/Ownership/cw_scenario_main.cpp
+++ b/Tests/Ownership/cw_scenario_main.cpp
@@ -1,7 +1,7 @@
 /// Runs one scenario script over the ownership bench and prints its session: cw_scenario FILE.
 ///
-/// A scenario is a Lua script. The bench's verbs are global functions; `show` prints what the keepers noted
-/// since the last call, and `expect` ends the run when its condition does not hold.
+/// A scenario is a Lua script. The bench's verbs are global functions; `show` prints what the
+/// keepers noted since the last call, and `expect` ends the run when its condition does not hold.
 
 #include "cw_ownership_bench.h"
 
@@ -31,7 +31,9 @@
     return *current().bench;
 }
 
-std::string word(lua_State* lua, int index) { return luaL_checkstring(lua, index); }
+std::string word(lua_State* lua, int index) {
+    return luaL_checkstring(lua, index);
+}
 
 std::chrono::milliseconds length(lua_State* lua, int index) {
     return std::chrono::milliseconds{luaL_checkinteger(lua, index)};
@@ -60,7 +62,7 @@
     chosen.upstreams = static_cast<std::size_t>(option(lua, "upstreams", 3));
     chosen.checks_fences = text_option(lua, "fences", "checked") == "checked";
     chosen.cut_off = text_option(lua, "cut_off", "hold") == "release" ? cw_cut_off_policy::release
-                                                                        : cw_cut_off_policy::hold;
+                                                                      : cw_cut_off_policy::hold;
     current().bench = std::make_unique<cw_ownership_bench>(chosen);
     current().shown = 0;
     return 0;
--- /dev/null
+++ b/Tests/Settings/cw_settings_test.cpp
@@ -0,0 +1,72 @@
+#include "cw_settings.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+
+namespace {
+
+/// A program with one setting of each kind.
+struct declared_settings {
+    declared_settings() {
+        settings.add_text("host", "A host");
+        settings.add_address("listen", "An address", "127.0.0.1:80");
+        settings.add_number("threads", "A number", 1, 8, 2);
+        settings.add_choice("level", "A word", {"low", "high"}, "low");
+        settings.add_flag("json", "A flag");
+    }
+    ~declared_settings() {
+        unsetenv("CUMINWINCH_HOST");
+        unsetenv("CUMINWINCH_THREADS");
+    }
+
+    std::optional<int> parse(std::vector<const char*> words) {
+        words.insert(words.begin(), "program");
+        return settings.parse(static_cast<int>(words.size()), words.data());
+    }
+
+    cw_settings settings{"program", "A program"};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(declared_settings, "flag_given_goes_before_variable") {
+    setenv("CUMINWINCH_HOST", "from-variable", 1);
+    setenv("CUMINWINCH_THREADS", "4", 1);
+    CHECK_FALSE(parse({"--host", "from-flag"}));
+    CHECK(settings.text("host") == "from-flag");
+    CHECK(settings.number("threads") == 4);
+    CHECK(settings.text("listen") == "127.0.0.1:80");
+}
+
+TEST_CASE_FIXTURE(declared_settings, "setting_missing_ends_with_usage_code") {
+    CHECK(parse({}) == cw_exit_usage);
+}
+
+TEST_CASE_FIXTURE(declared_settings, "setting_malformed_ends_with_usage_code") {
+    CHECK(parse({"--host", "h", "--listen", "nowhere"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--threads", "9"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--threads", "2x"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--level", "middle"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--unknown", "1"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--host", "i"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "word"}) == cw_exit_usage);
+}
+
+TEST_CASE_FIXTURE(declared_settings, "variable_malformed_ends_with_usage_code") {
+    setenv("CUMINWINCH_THREADS", "many", 1);
+    CHECK(parse({"--host", "h"}) == cw_exit_usage);
+}
+
+TEST_CASE_FIXTURE(declared_settings, "rule_broken_ends_with_usage_code") {
+    settings.add_rule([](const cw_settings& given) -> std::optional<std::string> {
+        return given.number("threads") == 3 ? std::optional<std::string>{"three is too many"}
+                                            : std::nullopt;
+    });
+    CHECK(parse({"--host", "h", "--threads", "3"}) == cw_exit_usage);
+    CHECK_FALSE(parse({"--host", "h", "--threads", "4"}));
+}
+
+TEST_CASE_FIXTURE(declared_settings, "check_asked_for_ends_with_success") {
+    CHECK(parse({"--host", "h", "--check"}) == EXIT_SUCCESS);
+    CHECK(parse({"--check"}) == cw_exit_usage);
+}
