--- a/Source/cw_balancer.cpp
+++ b/Source/cw_balancer.cpp
@@ -45,7 +45,10 @@
 
 cw_balancer::cw_balancer(cw_keeper_context& context, cw_membership& membership,
                          cw_lease_keeper& leases, cw_mover& mover)
-    : context_{context}, membership_{membership}, leases_{leases}, mover_{mover} {}
+    : context_{context},
+      membership_{membership},
+      leases_{leases},
+      mover_{mover} {}
 
 void cw_balancer::on_router_load(const cw_router_load_event& event) {
     auto& known = loads_[event.service][context_.self().host];
--- a/Source/cw_client.cpp
+++ b/Source/cw_client.cpp
@@ -346,6 +346,7 @@
     const auto until = started + options_.longest_wait;
     std::size_t in_force = 0;
     std::size_t reachable = 0;
+    std::string progress;
     while (std::chrono::steady_clock::now() < until) {
         const auto statuses = host_statuses();
         if (!statuses) {
@@ -367,7 +368,12 @@
                       std::to_string(took.count()) + " ms\n");
             return cw_client_exit::done;
         }
-        std::cerr << "waiting: in force on " << in_force << " of " << reachable << " hosts\n";
+        const auto line = "waiting: in force on " + std::to_string(in_force) + " of " +
+                          std::to_string(reachable) + " hosts\n";
+        if (line != progress) {
+            progress = line;
+            std::cerr << line;
+        }
         std::this_thread::sleep_for(wait_poll);
     }
     std::cerr << "cuminwinch: apply: version " << version << " is in force on " << in_force
--- a/Source/cw_client.h
+++ b/Source/cw_client.h
@@ -46,7 +46,8 @@
 /// The operators' commands. Each prints its result and returns the program's exit code.
 class cw_client {
 public:
-    explicit cw_client(cw_client_options options) : options_{std::move(options)} {}
+    explicit cw_client(cw_client_options options)
+        : options_{std::move(options)} {}
 
     cw_client_exit validate(const std::string& folder);
     cw_client_exit plan(const std::string& folder);
--- a/Source/cw_condemner.cpp
+++ b/Source/cw_condemner.cpp
@@ -12,7 +12,10 @@
 
 cw_condemner::cw_condemner(cw_keeper_context& context, cw_membership& membership,
                            cw_lease_keeper& leases, const cw_balancer& balancer)
-    : context_{context}, membership_{membership}, leases_{leases}, balancer_{balancer} {}
+    : context_{context},
+      membership_{membership},
+      leases_{leases},
+      balancer_{balancer} {}
 
 void cw_condemner::on_tick(cw_time_point now) {
     for (const auto& [upstream, lease] : leases_.leases()) {
--- a/Source/cw_config_parser.cpp
+++ b/Source/cw_config_parser.cpp
@@ -29,7 +29,9 @@
 public:
     field_reader(const toml::table& table, const std::string& file,
                  std::vector<cw_config_issue>& issues)
-        : table_{table}, file_{file}, issues_{issues} {}
+        : table_{table},
+          file_{file},
+          issues_{issues} {}
 
     std::string text(std::string_view name, bool required = true) {
         return value<std::string>(name, "a string", required).value_or("");
--- a/Source/cw_config_source.cpp
+++ b/Source/cw_config_source.cpp
@@ -4,6 +4,8 @@
 #include "cw_store_client.h"
 #include "cw_store_key.h"
 
+#include <nlohmann/json.hpp>
+
 cw_result<cw_loaded_config> cw_assemble_config(std::vector<cw_config_file> files,
                                                std::uint64_t version) {
     auto parsed = cw_config_parser::parse(files);
@@ -16,6 +18,31 @@
     return cw_loaded_config{std::move(config), std::move(files)};
 }
 
+nlohmann::json cw_config_bundle(const std::vector<cw_config_file>& files, std::uint64_t version) {
+    auto list = nlohmann::json::array();
+    for (const auto& file : files) {
+        list.push_back({file.name, file.text});
+    }
+    return {{"files", std::move(list)}, {"config_version", version}};
+}
+
+cw_result<cw_loaded_config> cw_read_config_bundle(const nlohmann::json& bundle) {
+    try {
+        std::vector<cw_config_file> files;
+        for (const auto& item : bundle.at("files")) {
+            files.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>()});
+        }
+        return cw_assemble_config(std::move(files),
+                                  bundle.at("config_version").get<std::uint64_t>());
+    } catch (const nlohmann::json::exception& failure) {
+        return tl::unexpected(cw_error{"parse config bundle", "keeper", failure.what()});
+    }
+}
+
+cw_result<cw_loaded_config> cw_parse_config_bundle(std::string_view text) {
+    return cw_read_config_bundle(nlohmann::json::parse(text, nullptr, false));
+}
+
 boost::asio::awaitable<cw_result<cw_loaded_config>> cw_config_source::load(cw_config_head head,
                                                                            cw_time_point deadline) {
     std::map<std::string, std::string> kept;
--- a/Source/cw_config_source.h
+++ b/Source/cw_config_source.h
@@ -8,7 +8,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 class cw_store_client;
@@ -22,7 +24,8 @@
 /// Loads whole configurations from the store. Parts already held are not read again.
 class cw_config_source {
 public:
-    explicit cw_config_source(cw_store_client& store) : store_{store} {}
+    explicit cw_config_source(cw_store_client& store)
+        : store_{store} {}
 
     /// All of the version that the head names, or an error; never a part of it.
     boost::asio::awaitable<cw_result<cw_loaded_config>> load(cw_config_head head,
@@ -33,6 +36,13 @@
     std::map<std::string, std::string> parts_;
 };
 
+/// The files of a version as one JSON object, and back; keepers hand whole versions on in this
+/// form.
+[[nodiscard]] nlohmann::json cw_config_bundle(const std::vector<cw_config_file>& files,
+                                              std::uint64_t version);
+[[nodiscard]] cw_result<cw_loaded_config> cw_parse_config_bundle(std::string_view text);
+[[nodiscard]] cw_result<cw_loaded_config> cw_read_config_bundle(const nlohmann::json& bundle);
+
 /// Parses the files as one configuration of the given version.
 [[nodiscard]] cw_result<cw_loaded_config> cw_assemble_config(std::vector<cw_config_file> files,
                                                              std::uint64_t version);
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -18,7 +18,8 @@
 /// A connection that saw a timeout or an error is closed, so a late answer meets no later request.
 class cw_http_client {
 public:
-    explicit cw_http_client(boost::asio::io_context& context) : context_{context} {}
+    explicit cw_http_client(boost::asio::io_context& context)
+        : context_{context} {}
 
     /// The whole answer of the peer ("IP:port"), or the step that failed by the deadline.
     boost::asio::awaitable<cw_result<cw_http_response>>
--- a/Source/cw_http_server.cpp
+++ b/Source/cw_http_server.cpp
@@ -21,7 +21,9 @@
 } // namespace
 
 cw_http_server::cw_http_server(net::io_context& context, const cw_address& address, handler handle)
-    : context_{context}, acceptor_{context, address.tcp()}, handle_{std::move(handle)} {}
+    : context_{context},
+      acceptor_{context, address.tcp()},
+      handle_{std::move(handle)} {}
 
 void cw_http_server::start() {
     net::co_spawn(context_, accept(), net::detached);
--- a/Source/cw_keeper_command.h
+++ b/Source/cw_keeper_command.h
@@ -28,6 +28,12 @@
 struct cw_read_command {
     std::string key;
 };
+/// Fetches a configuration of at least the version from another keeper.
+struct cw_fetch_config_command {
+    /// Host id of the keeper that offered it.
+    std::string from;
+    std::uint64_t version = 0;
+};
 /// The ownership table of a service has changed; routers should be told.
 struct cw_publish_command {
     std::string service;
@@ -35,6 +41,6 @@
 /// All rights are given up; the process may end.
 struct cw_stopped_command {};
 
-using cw_keeper_command =
-    std::variant<cw_send_peer_command, cw_send_grant_command, cw_write_command, cw_read_command,
-                 cw_publish_command, cw_stopped_command, cw_timeline_event>;
+using cw_keeper_command = std::variant<cw_send_peer_command, cw_send_grant_command,
+                                       cw_write_command, cw_read_command, cw_fetch_config_command,
+                                       cw_publish_command, cw_stopped_command, cw_timeline_event>;
--- a/Source/cw_keeper_context.h
+++ b/Source/cw_keeper_context.h
@@ -26,7 +26,9 @@
 class cw_keeper_context {
 public:
     cw_keeper_context(cw_ring_member self, std::string domain, cw_timings timings)
-        : self_{std::move(self)}, domain_{std::move(domain)}, timings_{timings} {}
+        : self_{std::move(self)},
+          domain_{std::move(domain)},
+          timings_{timings} {}
 
     [[nodiscard]] const cw_ring_member& self() const { return self_; }
     [[nodiscard]] const std::string& domain() const { return domain_; }
--- a/Source/cw_keeper_control.cpp
+++ b/Source/cw_keeper_control.cpp
@@ -20,8 +20,8 @@
 class control_state {
 public:
     control_state(cw_kernel& kernel, const cw_keeper_options& options, std::uint64_t incarnation)
-        : kernel_{kernel}, core_{cw_ring_member{options.host, incarnation}, options.domain,
-                                 options.timings} {}
+        : kernel_{kernel},
+          core_{cw_ring_member{options.host, incarnation}, options.domain, options.timings} {}
 
     void handle(caf::event_based_actor* self, const cw_keeper_event& event) {
         const auto now = std::chrono::steady_clock::now();
--- a/Source/cw_keeper_core.cpp
+++ b/Source/cw_keeper_core.cpp
@@ -3,22 +3,27 @@
 #include "cw_store_key.h"
 
 cw_keeper_core::cw_keeper_core(cw_ring_member self, std::string domain, cw_timings timings)
-    : context_{std::move(self), std::move(domain), timings}, membership_{context_},
-      leases_{context_, membership_}, mover_{context_, membership_, leases_}, balancer_{context_,
-                                                                                        membership_,
-                                                                                        leases_,
-                                                                                        mover_},
-      condemner_{context_, membership_, leases_, balancer_}, releaser_{context_, membership_,
-                                                                       balancer_} {}
+    : context_{std::move(self), std::move(domain), timings},
+      membership_{context_},
+      leases_{context_, membership_},
+      mover_{context_, membership_, leases_},
+      balancer_{context_, membership_, leases_, mover_},
+      condemner_{context_, membership_, leases_, balancer_},
+      releaser_{context_, membership_, balancer_},
+      relay_{context_.self().host, {}, context_.self().incarnation} {}
 
 std::vector<cw_keeper_command> cw_keeper_core::decide(const cw_keeper_event& event,
                                                       cw_time_point now) {
     std::visit([&](const auto& body) { handle(body, now); }, event);
+    flush_relay();
     return context_.take_commands();
 }
 
 std::vector<std::string> cw_keeper_core::watched_keys() const {
     std::vector<std::string> keys{cw_ring_key(context_.domain())};
+    if (context_.config() == nullptr || relay_.is_watcher()) {
+        keys.emplace_back(cw_config_head_key);
+    }
     for (const auto& ward : releaser_.wards()) {
         keys.push_back(cw_ring_key(ward));
     }
@@ -35,6 +40,7 @@
 
 void cw_keeper_core::handle(const cw_tick_event& /*event*/, cw_time_point now) {
     membership_.on_tick(now);
+    relay_.on_tick(now);
     if (stopping_) {
         if (!stopped_ && (now >= stop_by_ || !membership_.is_member())) {
             stopped_ = true;
@@ -54,17 +60,50 @@
 
 void cw_keeper_core::handle(const cw_hosts_event& event, cw_time_point now) {
     context_.set_hosts(event.hosts, now);
+    update_relay_hosts();
 }
 
-void cw_keeper_core::handle(const cw_config_event& event, cw_time_point /*now*/) {
+void cw_keeper_core::handle(const cw_config_event& event, cw_time_point now) {
     const auto* present = context_.config();
     if (present != nullptr && event.config->version <= present->version) {
         return;
     }
     context_.set_config(event.config);
+    update_relay_hosts();
+    relay_.on_version(event.config->version, now);
     context_.note("config-in-force", "version " + std::to_string(event.config->version));
 }
 
+void cw_keeper_core::update_relay_hosts() {
+    if (context_.config() == nullptr) {
+        return;
+    }
+    std::vector<std::string> foreign;
+    for (const auto& domain : context_.config()->domains) {
+        const auto hosts = context_.entry_hosts(domain.name);
+        if (domain.name != context_.domain() && !hosts.empty()) {
+            foreign.push_back(hosts.front());
+        }
+    }
+    relay_.set_hosts(context_.entry_hosts(context_.domain()), std::move(foreign));
+}
+
+void cw_keeper_core::flush_relay() {
+    for (const auto& command : relay_.take_commands()) {
+        switch (command.action) {
+        case cw_relay_command::kind::offer:
+            context_.send(command.host, cw_offer_message{command.version});
+            break;
+        case cw_relay_command::kind::acknowledge:
+            context_.send(command.host, cw_offer_ack_message{command.version});
+            break;
+        case cw_relay_command::kind::fetch:
+            context_.emit(cw_fetch_config_command{command.host, command.version});
+            break;
+        }
+    }
+}
+
 void cw_keeper_core::handle(const cw_table_event& event, cw_time_point now) {
     if (!context_.set_table({event.table, event.store_version})) {
         return;
@@ -120,6 +159,10 @@
         membership_.on_leave(from);
     } else if (const auto* load = std::get_if<cw_load_message>(&body)) {
         balancer_.on_peer_load(from, *load, now);
+    } else if (const auto* offer = std::get_if<cw_offer_message>(&body)) {
+        relay_.on_offer(from.host, offer->version, now);
+    } else if (const auto* offer_ack = std::get_if<cw_offer_ack_message>(&body)) {
+        relay_.on_acknowledgement(from.host, offer_ack->version);
     }
 }
 
--- a/Source/cw_keeper_core.h
+++ b/Source/cw_keeper_core.h
@@ -8,6 +8,7 @@
 #include "cw_lease_keeper.h"
 #include "cw_membership.h"
 #include "cw_mover.h"
+#include "cw_relay.h"
 #include "cw_releaser.h"
 
 #include <string>
@@ -43,6 +44,9 @@
     void handle(const cw_lease_reply& event, cw_time_point now);
     void handle(const cw_router_load_event& event, cw_time_point now);
     void handle(const cw_stop_event& event, cw_time_point now);
+    /// Carries the relay's commands out and tells it the hosts.
+    void flush_relay();
+    void update_relay_hosts();
     void handle_body(const cw_ring_member& from, const cw_peer_body& body, cw_time_point now);
 
     cw_keeper_context context_;
@@ -52,6 +56,7 @@
     cw_balancer balancer_;
     cw_condemner condemner_;
     cw_releaser releaser_;
+    cw_relay relay_;
     bool stopping_ = false;
     bool stopped_ = false;
     cw_time_point stop_by_{};
--- a/Source/cw_keeper_io.cpp
+++ b/Source/cw_keeper_io.cpp
@@ -41,12 +41,19 @@
 
 cw_keeper_io::cw_keeper_io(net::io_context& context, cw_kernel& kernel,
                            const cw_keeper_options& options, std::uint64_t incarnation)
-    : context_{context}, kernel_{kernel}, options_{options},
-      incarnation_{incarnation}, timeline_{options.host, options.domain, "keeper"}, http_{context},
-      grants_{context}, store_{http_, options.platform}, config_source_{store_},
+    : context_{context},
+      kernel_{kernel},
+      options_{options},
+      incarnation_{incarnation},
+      timeline_{options.host, options.domain, "keeper"},
+      http_{context},
+      grants_{context},
+      store_{http_, options.platform},
+      config_source_{store_},
       server_{context, options.listen,
               [this](cw_http_request request) { return serve(std::move(request)); }},
-      peers_{context, options.listen.udp()}, published_{context} {}
+      peers_{context, options.listen.udp()},
+      published_{context} {}
 
 void cw_keeper_io::start() {
     const auto io = kernel_.system().spawn([this](caf::event_based_actor*) -> caf::behavior {
@@ -59,6 +66,8 @@
     server_.start();
     net::co_spawn(context_, receive_peers(), net::detached);
     net::co_spawn(context_, poll_hosts(), net::detached);
+    watched_.insert(std::string{cw_config_head_key});
+    wanted_keys_ = watched_;
     net::co_spawn(context_, watch_config(), net::detached);
     timeline_.add({"started", options_.host, "incarnation " + std::to_string(incarnation_)},
                   std::chrono::system_clock::now());
@@ -90,9 +99,11 @@
         carry_out(command);
     }
     if (output.watched) {
-        for (const auto& key : *output.watched) {
+        wanted_keys_ = {output.watched->begin(), output.watched->end()};
+        for (const auto& key : wanted_keys_) {
             if (watched_.insert(key).second) {
-                net::co_spawn(context_, watch(key), net::detached);
+                net::co_spawn(context_, key == cw_config_head_key ? watch_config() : watch(key),
+                              net::detached);
             }
         }
     }
@@ -113,13 +124,8 @@
     if (!tables_) {
         return;
     }
-    auto files = nlohmann::json::array();
-    for (const auto& file : files_) {
-        files.push_back({file.name, file.text});
-    }
     auto state = nlohmann::json::parse(*tables_);
-    state["files"] = std::move(files);
-    state["config_version"] = config_version_;
+    state.update(cw_config_bundle(files_, config_version_));
     state["run"] = incarnation_;
     state["revision"] = ++revision_;
     routes_ = state.dump();
@@ -137,6 +143,8 @@
         net::co_spawn(context_, read(query->key), net::detached);
     } else if (const auto* event = std::get_if<cw_timeline_event>(&command)) {
         timeline_.add(*event, std::chrono::system_clock::now());
+    } else if (const auto* fetch = std::get_if<cw_fetch_config_command>(&command)) {
+        net::co_spawn(context_, fetch_config(*fetch), net::detached);
     } else if (std::holds_alternative<cw_stopped_command>(command)) {
         log_.info("All rights are given up.");
         context_.stop();
@@ -208,7 +216,7 @@
 
 net::awaitable<void> cw_keeper_io::watch(std::string key) {
     std::uint64_t known = 0;
-    while (!stopping_) {
+    while (!stopping_ && wanted_keys_.contains(key)) {
         const auto value = co_await store_.watch(key, known, watch_wait);
         if (value && value->version > known) {
             known = value->version;
@@ -217,13 +225,14 @@
             co_await pause(retry_pause);
         }
     }
+    watched_.erase(key);
 }
 
 net::awaitable<void> cw_keeper_io::watch_config() {
+    const std::string key{cw_config_head_key};
     std::uint64_t known = 0;
-    while (!stopping_) {
-        const auto value =
-            co_await store_.watch(std::string{cw_config_head_key}, known, watch_wait);
+    while (!stopping_ && wanted_keys_.contains(key)) {
+        const auto value = co_await store_.watch(key, known, watch_wait);
         if (!value) {
             co_await pause(retry_pause);
             continue;
@@ -236,17 +245,54 @@
             known = value->version;
             continue;
         }
-        const auto loaded = co_await config_source_.load(*head, now() + config_timeout);
-        if (!loaded) {
-            log_.warning("Configuration is not loaded.", {{"error", loaded.error().text()}});
+        const bool loaded = co_await load_from_store(*head);
+        if (loaded) {
+            known = value->version;
+        } else {
             co_await pause(retry_pause);
-            continue;
         }
-        known = value->version;
-        config_version_ = head->version;
-        files_ = loaded->files;
-        deliver(cw_config_event{loaded->config});
-        publish();
+    }
+    watched_.erase(key);
+}
+
+net::awaitable<bool> cw_keeper_io::load_from_store(cw_config_head head) {
+    const auto loaded = co_await config_source_.load(std::move(head), now() + config_timeout);
+    if (!loaded) {
+        log_.warning("Configuration is not loaded.", {{"error", loaded.error().text()}});
+        co_return false;
+    }
+    take_config(*loaded);
+    co_return true;
+}
+
+void cw_keeper_io::take_config(const cw_loaded_config& loaded) {
+    if (loaded.config->version <= config_version_) {
+        return;
+    }
+    config_version_ = loaded.config->version;
+    files_ = loaded.files;
+    deliver(cw_config_event{loaded.config});
+    publish();
+}
+
+net::awaitable<void> cw_keeper_io::fetch_config(cw_fetch_config_command command) {
+    const auto known = addresses_.find(command.from);
+    if (known == addresses_.end()) {
+        co_return;
+    }
+    cw_http_request request{http::verb::get, "/v1/config", 11};
+    request.set(http::field::host, known->second);
+    const auto response =
+        co_await http_.request(known->second, std::move(request), now() + config_timeout);
+    if (!response || response->result() != http::status::ok) {
+        co_return;
+    }
+    const auto loaded = cw_parse_config_bundle(response->body());
+    if (loaded) {
+        take_config(*loaded);
+    } else {
+        log_.warning("Configuration from a peer is not taken.",
+                     {{"peer", command.from}, {"error", loaded.error().text()}});
     }
 }
 
@@ -315,6 +361,10 @@
     if (path == "/v1/routes") {
         co_return co_await serve_routes(target);
     }
+    if (path == "/v1/config") {
+        co_return cw_make_response(http::status::ok,
+                                   cw_config_bundle(files_, config_version_).dump());
+    }
     if (path == "/v1/status") {
         co_return cw_make_response(http::status::ok, status());
     }
--- a/Source/cw_keeper_io.h
+++ b/Source/cw_keeper_io.h
@@ -47,6 +47,10 @@
     boost::asio::awaitable<void> read(std::string key);
     boost::asio::awaitable<void> watch(std::string key);
     boost::asio::awaitable<void> watch_config();
+    boost::asio::awaitable<bool> load_from_store(cw_config_head head);
+    boost::asio::awaitable<void> fetch_config(cw_fetch_config_command command);
+    /// Puts a whole configuration in force if it is newer than the present one.
+    void take_config(const cw_loaded_config& loaded);
     boost::asio::awaitable<void> poll_hosts();
     boost::asio::awaitable<void> receive_peers();
     boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
@@ -69,6 +73,8 @@
     boost::asio::ip::udp::socket peers_;
     boost::asio::steady_timer published_;
     std::map<std::string, std::string> addresses_;
+    /// Keys that should be watched, and those whose watch is running.
+    std::set<std::string> wanted_keys_;
     std::set<std::string> watched_;
     std::shared_ptr<const std::string> tables_;
     std::vector<cw_config_file> files_;
--- a/Source/cw_kernel.cpp
+++ b/Source/cw_kernel.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-cw_kernel::cw_kernel() : system_{with_one_worker(config_)} {}
+cw_kernel::cw_kernel()
+    : system_{with_one_worker(config_)} {}
 
 void cw_kernel::add(std::string_view name, const caf::actor& service) {
     system_.registry().put(atom_of(name), caf::actor_cast<caf::strong_actor_ptr>(service));
--- a/Source/cw_lease_keeper.cpp
+++ b/Source/cw_lease_keeper.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 cw_lease_keeper::cw_lease_keeper(cw_keeper_context& context, cw_membership& membership)
-    : context_{context}, membership_{membership} {}
+    : context_{context},
+      membership_{membership} {}
 
 cw_upstream_lease* cw_lease_keeper::lease(const std::string& upstream) {
     const auto found = leases_.find(upstream);
--- a/Source/cw_load_run.cpp
+++ b/Source/cw_load_run.cpp
@@ -38,8 +38,10 @@
 } // namespace
 
 cw_load_run::cw_load_run(cw_load_options options)
-    : options_{std::move(options)}, engine_{options_.seed},
-      popularity_{options_.keys, options_.zipf}, run_id_{std::to_string(std::random_device{}())} {}
+    : options_{std::move(options)},
+      engine_{options_.seed},
+      popularity_{options_.keys, options_.zipf},
+      run_id_{std::to_string(std::random_device{}())} {}
 
 std::string cw_load_run::path_of(std::uint32_t key) const {
     return options_.prefix + "k" + std::to_string(key) + "/x";
--- a/Source/cw_log.h
+++ b/Source/cw_log.h
@@ -16,7 +16,8 @@
 /// A line reads `TIME LEVEL [part] Short sentence. name=value name=value`.
 class cw_log {
 public:
-    explicit cw_log(std::string part) : part_{std::move(part)} {}
+    explicit cw_log(std::string part)
+        : part_{std::move(part)} {}
 
     /// Sets up the logging library for the whole process: no file, one format, the least level
     /// shown.
--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -14,18 +14,19 @@
 } // namespace
 
 cw_membership::cw_membership(cw_keeper_context& context)
-    : context_{context}, tenure_{context.timings().tenure} {}
+    : context_{context},
+      tenure_{context.timings().tenure} {}
 
 bool cw_membership::is_member() const {
     return ring_ && ring_->has(context_.self());
 }
 
-std::vector<std::string> cw_membership::ring_peers() const {
-    std::vector<std::string> peers;
+std::vector<cw_ring_member> cw_membership::ring_peers() const {
+    std::vector<cw_ring_member> peers;
     for (const auto& member : ring_->members) {
         // A member that has left in order never supersedes anyone again.
         if (member != context_.self() && !left_.contains(member)) {
-            peers.push_back(member.host);
+            peers.push_back(member);
         }
     }
     return peers;
@@ -106,10 +107,7 @@
     if (from.incarnation < known.incarnation) {
         return;
     }
-    if (from != known) {
-        tenure_.forget_peer(from.host);
-        known = from;
-    }
+    known = from;
     heard_[from.host] = now;
 }
 
@@ -133,10 +131,7 @@
 }
 
 void cw_membership::on_promise(const cw_ring_member& from, const cw_promise_message& promise) {
-    const auto known = incarnations_.find(from.host);
-    if (known != incarnations_.end() && known->second == from) {
-        tenure_.on_promise(from.host, promise.sequence);
-    }
+    tenure_.on_promise(from, promise.sequence);
 }
 
 void cw_membership::on_leave(const cw_ring_member& from) {
@@ -238,7 +233,7 @@
         return;
     }
     for (const auto& peer : ring_peers()) {
-        context_.send(peer, cw_leave_message{});
+        context_.send(peer.host, cw_leave_message{});
     }
 }
 
@@ -271,7 +266,7 @@
     for (const auto& peer : peers) {
         const auto sequence = context_.next_number();
         tenure_.on_ask_sent(peer, sequence, now);
-        context_.send(peer, cw_ask_message{sequence, context_.domain(), ring_->epoch});
+        context_.send(peer.host, cw_ask_message{sequence, context_.domain(), ring_->epoch});
     }
 }
 
@@ -354,7 +349,7 @@
     });
 }
 
-std::vector<std::string> cw_membership::wanted_deputies(cw_time_point now) const {
+std::vector<cw_ring_member> cw_membership::wanted_deputies(cw_time_point now) const {
     const auto* config = context_.config();
     if (config == nullptr || !owns_release_service()) {
         return {};
@@ -365,20 +360,27 @@
     }
     // A silent deputy would leave the domain to the store alone; present ones stay while they are
     // heard.
-    const auto heard_since = [&](const std::string& host, std::chrono::milliseconds patience) {
-        const auto heard = last_heard(host);
-        return now < heard.value_or(started_) + patience;
+    const auto is_fit = [&](const cw_ring_member& member, std::chrono::milliseconds patience) {
+        const auto known = incarnations_.find(member.host);
+        const bool present = known == incarnations_.end() || known->second == member;
+        const auto heard = last_heard(member.host);
+        return present && context_.host(member.host) != nullptr &&
+               now < heard.value_or(started_) + patience;
     };
-    std::vector<std::string> wanted;
-    for (const auto& host : ring_->deputies) {
-        if (heard_since(host, context_.timings().removal) && context_.host(host) != nullptr) {
-            wanted.push_back(host);
+    std::vector<cw_ring_member> wanted;
+    for (const auto& member : ring_->deputies) {
+        if (is_fit(member, context_.timings().removal)) {
+            wanted.push_back(member);
         }
     }
     for (const auto& host : context_.entry_hosts(deputy->name)) {
-        const bool present = std::find(wanted.begin(), wanted.end(), host) != wanted.end();
-        if (wanted.size() < most_deputies && !present && heard_since(host, newcomer_silence)) {
-            wanted.push_back(host);
+        const auto known = incarnations_.find(host);
+        if (known == incarnations_.end() || wanted.size() >= most_deputies) {
+            continue;
+        }
+        const bool present = std::find(wanted.begin(), wanted.end(), known->second) != wanted.end();
+        if (!present && is_fit(known->second, newcomer_silence)) {
+            wanted.push_back(known->second);
         }
     }
     std::sort(wanted.begin(), wanted.end());
--- a/Source/cw_membership.h
+++ b/Source/cw_membership.h
@@ -74,9 +74,9 @@
     void update_deputies(cw_time_point now);
     void write_ring(cw_ring next, cw_time_point now);
     void resend_write(cw_time_point now);
-    [[nodiscard]] std::vector<std::string> ring_peers() const;
+    [[nodiscard]] std::vector<cw_ring_member> ring_peers() const;
     [[nodiscard]] bool may_remove(const cw_ring_member& member, cw_time_point now) const;
-    [[nodiscard]] std::vector<std::string> wanted_deputies(cw_time_point now) const;
+    [[nodiscard]] std::vector<cw_ring_member> wanted_deputies(cw_time_point now) const;
     [[nodiscard]] bool owns_release_service() const;
 
     struct pending_write {
--- a/Source/cw_mover.cpp
+++ b/Source/cw_mover.cpp
@@ -8,7 +8,9 @@
 #include <algorithm>
 
 cw_mover::cw_mover(cw_keeper_context& context, cw_membership& membership, cw_lease_keeper& leases)
-    : context_{context}, membership_{membership}, leases_{leases} {}
+    : context_{context},
+      membership_{membership},
+      leases_{leases} {}
 
 bool cw_mover::is_idle(const std::string& service) const {
     return std::none_of(handovers_.begin(), handovers_.end(),
--- a/Source/cw_peer_codec.cpp
+++ b/Source/cw_peer_codec.cpp
@@ -32,6 +32,8 @@
     json operator()(const cw_unhold_message& body) const { return {body.nonce, body.upstream}; }
     json operator()(const cw_reachable_message& body) const { return json::array({body.upstream}); }
     json operator()(const cw_leave_message& /*body*/) const { return json::array(); }
+    json operator()(const cw_offer_message& body) const { return json::array({body.version}); }
+    json operator()(const cw_offer_ack_message& body) const { return json::array({body.version}); }
     json operator()(const cw_load_message& body) const {
         auto rates = json::array();
         for (const auto& [first, rate] : body.rates) {
@@ -72,6 +74,10 @@
         return cw_reachable_message{body.at(0).get<std::string>()};
     case kind_of<cw_leave_message>:
         return cw_leave_message{};
+    case kind_of<cw_offer_message>:
+        return cw_offer_message{body.at(0).get<std::uint64_t>()};
+    case kind_of<cw_offer_ack_message>:
+        return cw_offer_ack_message{body.at(0).get<std::uint64_t>()};
     default:
         return read_load(body);
     }
--- a/Source/cw_peer_message.h
+++ b/Source/cw_peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_relay.h"
 #include "cw_ring_member.h"
 
 #include <chrono>
@@ -62,7 +63,8 @@
 
 using cw_peer_body =
     std::variant<cw_ask_message, cw_promise_message, cw_hold_message, cw_hold_ack_message,
-                 cw_unhold_message, cw_reachable_message, cw_leave_message, cw_load_message>;
+                 cw_unhold_message, cw_reachable_message, cw_leave_message, cw_load_message,
+                 cw_offer_message, cw_offer_ack_message>;
 
 /// A message with its sender and the incarnation it is meant for.
 struct cw_peer_message {
--- a/Source/cw_planner.cpp
+++ b/Source/cw_planner.cpp
@@ -20,7 +20,8 @@
 /// Weighs a slice by its traffic and a little by its width.
 class slice_weigher {
 public:
-    explicit slice_weigher(const cw_slice_loads& loads) : loads_{loads} {
+    explicit slice_weigher(const cw_slice_loads& loads)
+        : loads_{loads} {
         for (const auto& [first, rate] : loads) {
             total_ += rate;
         }
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -103,7 +103,10 @@
 /// Counts one request as in hand at an upstream for as long as it lives.
 class in_flight_guard {
 public:
-    explicit in_flight_guard(cw_in_flight& counter) : counter_{counter} { ++counter_.count; }
+    explicit in_flight_guard(cw_in_flight& counter)
+        : counter_{counter} {
+        ++counter_.count;
+    }
     ~in_flight_guard() { --counter_.count; }
     in_flight_guard(const in_flight_guard&) = delete;
     in_flight_guard& operator=(const in_flight_guard&) = delete;
@@ -115,7 +118,8 @@
 } // namespace
 
 cw_proxy_session::cw_proxy_session(cw_traffic_context& traffic, net::ip::tcp::socket socket)
-    : traffic_{traffic}, caller_{std::move(socket)} {}
+    : traffic_{traffic},
+      caller_{std::move(socket)} {}
 
 net::awaitable<void> cw_proxy_session::run(std::unique_ptr<cw_proxy_session> session) {
     // The result is kept in a variable: g++ 12 miscompiles a loop whose condition awaits and whose
--- a/Source/cw_proxy_session.h
+++ b/Source/cw_proxy_session.h
@@ -22,7 +22,9 @@
 /// What one traffic thread's sessions share.
 struct cw_traffic_context {
     cw_traffic_context(boost::asio::io_context& io, cw_router_shared& state)
-        : context{io}, shared{state}, pool{io} {}
+        : context{io},
+          shared{state},
+          pool{io} {}
 
     boost::asio::io_context& context;
     cw_router_shared& shared;
--- a/Source/cw_releaser.cpp
+++ b/Source/cw_releaser.cpp
@@ -10,7 +10,9 @@
 
 cw_releaser::cw_releaser(cw_keeper_context& context, cw_membership& membership,
                          const cw_balancer& balancer)
-    : context_{context}, membership_{membership}, balancer_{balancer} {}
+    : context_{context},
+      membership_{membership},
+      balancer_{balancer} {}
 
 std::vector<std::string> cw_releaser::wards() const {
     std::vector<std::string> names;
@@ -77,7 +79,7 @@
 
 bool cw_releaser::may_release(const ward& state, cw_time_point now) const {
     const auto& ring = *state.ring;
-    const auto& self = context_.self().host;
+    const auto& self = context_.self();
     if (std::find(ring.deputies.begin(), ring.deputies.end(), self) == ring.deputies.end()) {
         return false;
     }
--- a/Source/cw_retry_budget.h
+++ b/Source/cw_retry_budget.h
@@ -5,7 +5,9 @@
 public:
     /// Each request adds `share` of a token; a retry takes one. `most` tokens are kept.
     explicit cw_retry_budget(double share = 0.1, double most = 20.0)
-        : share_{share}, most_{most}, tokens_{most} {}
+        : share_{share},
+          most_{most},
+          tokens_{most} {}
 
     void on_request() { tokens_ = tokens_ + share_ < most_ ? tokens_ + share_ : most_; }
     [[nodiscard]] bool has_token() const { return tokens_ >= 1.0; }
--- a/Source/cw_ring.cpp
+++ b/Source/cw_ring.cpp
@@ -3,6 +3,26 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+namespace {
+
+nlohmann::json members_to_json(const std::vector<cw_ring_member>& members) {
+    auto list = nlohmann::json::array();
+    for (const auto& member : members) {
+        list.push_back({member.host, member.incarnation});
+    }
+    return list;
+}
+
+std::vector<cw_ring_member> members_from_json(const nlohmann::json& list) {
+    std::vector<cw_ring_member> members;
+    for (const auto& item : list) {
+        members.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>()});
+    }
+    return members;
+}
+
+} // namespace
+
 bool cw_ring::has(const cw_ring_member& member) const {
     return std::find(members.begin(), members.end(), member) != members.end();
 }
@@ -20,14 +40,14 @@
 }
 
 std::string cw_ring::to_json() const {
-    auto list = nlohmann::json::array();
-    for (const auto& member : members) {
-        list.push_back({member.host, member.incarnation});
-    }
-    return nlohmann::json{{"domain", domain},     {"epoch", epoch},
-                          {"since", since},       {"deputies_since", deputies_since},
-                          {"members", list},      {"deputies", deputies},
-                          {"released", released}, {"writer", writer}}
+    return nlohmann::json{{"domain", domain},
+                          {"epoch", epoch},
+                          {"since", since},
+                          {"deputies_since", deputies_since},
+                          {"members", members_to_json(members)},
+                          {"deputies", members_to_json(deputies)},
+                          {"released", released},
+                          {"writer", writer}}
         .dump();
 }
 
@@ -36,14 +56,11 @@
     try {
         cw_ring ring;
         ring.domain = parsed.at("domain").get<std::string>();
-        for (const auto& item : parsed.at("members")) {
-            ring.members.push_back(
-                {item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>()});
-        }
+        ring.members = members_from_json(parsed.at("members"));
         ring.epoch = parsed.at("epoch").get<std::uint64_t>();
         ring.since = parsed.at("since").get<std::map<std::string, std::uint64_t>>();
         ring.deputies_since = parsed.at("deputies_since").get<std::uint64_t>();
-        ring.deputies = parsed.at("deputies").get<std::vector<std::string>>();
+        ring.deputies = members_from_json(parsed.at("deputies"));
         ring.released = parsed.at("released").get<std::map<std::string, std::uint64_t>>();
         ring.writer = parsed.at("writer").get<std::string>();
         return ring;
--- a/Source/cw_ring.h
+++ b/Source/cw_ring.h
@@ -19,7 +19,7 @@
     /// Epoch at which each member joined, by host id.
     std::map<std::string, std::uint64_t> since;
     /// Keepers of another domain that may release this domain's services of the `release` policy.
-    std::vector<std::string> deputies;
+    std::vector<cw_ring_member> deputies;
     /// Epoch at which the list of deputies last changed.
     std::uint64_t deputies_since = 0;
     /// Table epoch per released service; this domain may grant such a service only above it.
--- a/Source/cw_route_view.cpp
+++ b/Source/cw_route_view.cpp
@@ -6,23 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-namespace {
-
-cw_result<std::shared_ptr<const cw_config>> read_config(const nlohmann::json& state) {
-    std::vector<cw_config_file> files;
-    for (const auto& item : state.at("files")) {
-        files.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>()});
-    }
-    const auto version = state.at("config_version").get<std::uint64_t>();
-    auto loaded = cw_assemble_config(std::move(files), version);
-    if (!loaded) {
-        return tl::unexpected(loaded.error());
-    }
-    return loaded->config;
-}
-
-} // namespace
-
 cw_result<std::shared_ptr<const cw_route_view>>
 cw_route_view::parse(std::string_view text, const cw_route_view* previous) {
     const auto state = nlohmann::json::parse(text, nullptr, false);
@@ -35,11 +18,11 @@
         if (previous != nullptr && version <= previous->config_->version) {
             view->config_ = previous->config_;
         } else {
-            auto config = read_config(state);
-            if (!config) {
-                return tl::unexpected(config.error());
+            const auto loaded = cw_read_config_bundle(state);
+            if (!loaded) {
+                return tl::unexpected(loaded.error());
             }
-            view->config_ = std::move(*config);
+            view->config_ = loaded->config;
         }
         for (const auto& item : state.at("tables")) {
             auto table = cw_slice_table::parse(item.get<std::string>());
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -29,7 +29,8 @@
 } // namespace
 
 cw_router::cw_router(cw_router_options options)
-    : options_{std::move(options)}, shared_{options_.host, options_.domain},
+    : options_{std::move(options)},
+      shared_{options_.host, options_.domain},
       admin_{context_, options_.admin,
              [this](cw_http_request request) { return serve_admin(std::move(request)); }},
       http_{context_} {
--- a/Source/cw_router_services.cpp
+++ b/Source/cw_router_services.cpp
@@ -37,8 +37,9 @@
 public:
     reporter(cw_router_shared& shared, const cw_router_options& options,
              std::vector<cw_traffic_context*> traffic)
-        : shared_{shared}, client_{options.keeper_rpc, report_timeout}, traffic_{
-                                                                            std::move(traffic)} {}
+        : shared_{shared},
+          client_{options.keeper_rpc, report_timeout},
+          traffic_{std::move(traffic)} {}
 
     void report() {
         const auto loads = collect_loads();
--- a/Source/cw_router_shared.h
+++ b/Source/cw_router_shared.h
@@ -20,7 +20,8 @@
 class cw_router_shared {
 public:
     cw_router_shared(std::string host, std::string domain)
-        : domain_{std::move(domain)}, timeline_{std::move(host), domain_, "router"} {}
+        : domain_{std::move(domain)},
+          timeline_{std::move(host), domain_, "router"} {}
 
     [[nodiscard]] const std::string& domain() const { return domain_; }
     [[nodiscard]] std::shared_ptr<const cw_route_view> view() const {
--- a/Source/cw_rpc_client.cpp
+++ b/Source/cw_rpc_client.cpp
@@ -6,7 +6,8 @@
 #include <memory>
 
 cw_rpc_client::cw_rpc_client(const std::string& address, std::chrono::milliseconds timeout)
-    : url_{"http://" + address}, timeout_{timeout} {}
+    : url_{"http://" + address},
+      timeout_{timeout} {}
 
 bool cw_rpc_client::call(const std::string& method, const std::string& params,
                          std::string& result) const {
--- a/Source/cw_rpc_server.cpp
+++ b/Source/cw_rpc_server.cpp
@@ -28,7 +28,8 @@
 class cw_rpc_server::implementation : public jsonrpc::IProcedureInvokationHandler {
 public:
     implementation(int port, std::map<std::string, method> methods)
-        : methods_{std::move(methods)}, server_{port, "", "", server_threads},
+        : methods_{std::move(methods)},
+          server_{port, "", "", server_threads},
           handler_{jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2,
                                                                          *this)} {
         for (const auto& entry : methods_) {
--- a/Source/cw_settings.cpp
+++ b/Source/cw_settings.cpp
@@ -58,7 +58,8 @@
 };
 
 cw_settings::cw_settings(std::string program, std::string purpose)
-    : program_{std::move(program)}, purpose_{std::move(purpose)} {}
+    : program_{std::move(program)},
+      purpose_{std::move(purpose)} {}
 
 cw_settings::~cw_settings() = default;
 
--- a/Source/cw_store_client.h
+++ b/Source/cw_store_client.h
@@ -21,7 +21,8 @@
 class cw_store_client {
 public:
     cw_store_client(cw_http_client& http, std::string address)
-        : http_{http}, address_{std::move(address)} {}
+        : http_{http},
+          address_{std::move(address)} {}
 
     boost::asio::awaitable<cw_result<cw_store_value>> read(std::string key, cw_time_point deadline);
     /// Returns as soon as the key's version passes `known`, or with the present value after `wait`.
--- a/Source/cw_tenure.cpp
+++ b/Source/cw_tenure.cpp
@@ -7,14 +7,14 @@
 constexpr std::size_t most_asks = 256;
 } // namespace
 
-void cw_tenure::on_ask_sent(const std::string& peer, std::uint64_t sequence, cw_time_point now) {
+void cw_tenure::on_ask_sent(const cw_ring_member& peer, std::uint64_t sequence, cw_time_point now) {
     asks_.insert_or_assign(sequence, ask{peer, now});
     while (asks_.size() > most_asks) {
         asks_.erase(asks_.begin());
     }
 }
 
-void cw_tenure::on_promise(const std::string& peer, std::uint64_t sequence) {
+void cw_tenure::on_promise(const cw_ring_member& peer, std::uint64_t sequence) {
     const auto found = asks_.find(sequence);
     if (found == asks_.end() || found->second.peer != peer) {
         return;
@@ -36,7 +36,7 @@
     asks_.clear();
 }
 
-std::optional<cw_time_point> cw_tenure::end(const std::vector<std::string>& peers) const {
+std::optional<cw_time_point> cw_tenure::end(const std::vector<cw_ring_member>& peers) const {
     if (peers.empty()) {
         return std::nullopt;
     }
@@ -48,7 +48,7 @@
     return std::max(least, store_end_.value_or(cw_time_point::min()));
 }
 
-bool cw_tenure::holds(const std::vector<std::string>& peers, cw_time_point now) const {
+bool cw_tenure::holds(const std::vector<cw_ring_member>& peers, cw_time_point now) const {
     const auto until = end(peers);
     return !until || now < *until;
 }
--- a/Source/cw_timeline.cpp
+++ b/Source/cw_timeline.cpp
@@ -10,7 +10,9 @@
 } // namespace
 
 cw_timeline::cw_timeline(std::string host, std::string domain, std::string part)
-    : host_{std::move(host)}, domain_{std::move(domain)}, part_{std::move(part)} {}
+    : host_{std::move(host)},
+      domain_{std::move(domain)},
+      part_{std::move(part)} {}
 
 void cw_timeline::keep(std::string json) {
     const std::scoped_lock lock{mutex_};
--- a/Source/cw_traffic_thread.cpp
+++ b/Source/cw_traffic_thread.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 cw_traffic_thread::cw_traffic_thread(cw_router_shared& shared, const cw_address& address)
-    : traffic_{context_, shared}, acceptor_{context_} {
+    : traffic_{context_, shared},
+      acceptor_{context_} {
     acceptor_.open(address.tcp().protocol());
     acceptor_.set_option(net::ip::tcp::acceptor::reuse_address{true});
     acceptor_.set_option(reuse_port{true});
--- a/Source/cw_upstream_pool.h
+++ b/Source/cw_upstream_pool.h
@@ -15,7 +15,8 @@
 public:
     using stream = boost::beast::tcp_stream;
 
-    explicit cw_upstream_pool(boost::asio::io_context& context) : context_{context} {}
+    explicit cw_upstream_pool(boost::asio::io_context& context)
+        : context_{context} {}
 
     /// An idle connection that the upstream has not closed and that holds no unread bytes; else
     /// null.
--- a/Standins/cw_lease_holder.h
+++ b/Standins/cw_lease_holder.h
@@ -13,7 +13,8 @@
 class cw_lease_holder {
 public:
     cw_lease_holder(std::uint64_t incarnation, bool checks_fences)
-        : incarnation_{incarnation}, checks_fences_{checks_fences} {}
+        : incarnation_{incarnation},
+          checks_fences_{checks_fences} {}
 
     /// Takes, renews or refuses a lease. `now` is a reading of the clock that deadlines refer to.
     [[nodiscard]] cw_lease_reply on_grant(const cw_lease_grant& grant, cw_upstream_time now);
--- a/Standins/cw_link_standin.cpp
+++ b/Standins/cw_link_standin.cpp
@@ -15,7 +15,10 @@
 
 cw_link_standin::cw_link_standin(net::io_context& context, const cw_address& listen,
                                  const cw_address& target)
-    : context_{context}, acceptor_{context, listen.tcp()}, target_{target}, restored_{context} {}
+    : context_{context},
+      acceptor_{context, listen.tcp()},
+      target_{target},
+      restored_{context} {}
 
 void cw_link_standin::start() {
     net::co_spawn(context_, accept(), net::detached);
--- a/Standins/cw_store_standin.cpp
+++ b/Standins/cw_store_standin.cpp
@@ -24,10 +24,9 @@
 } // namespace
 
 cw_store_standin::cw_store_standin(net::io_context& context, const cw_address& address)
-    : context_{context}, server_{context, address,
-                                 [this](cw_http_request request) {
-                                     return serve(std::move(request));
-                                 }},
+    : context_{context},
+      server_{context, address,
+              [this](cw_http_request request) { return serve(std::move(request)); }},
       changed_{context} {}
 
 net::awaitable<void> cw_store_standin::wait(std::chrono::milliseconds length) {
--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -50,11 +50,12 @@
 } // namespace
 
 cw_upstream_standin::cw_upstream_standin(net::io_context& context, cw_upstream_options options)
-    : context_{context}, options_{std::move(options)}, server_{context, options_.listen,
-                                                               [this](cw_http_request request) {
-                                                                   return serve(std::move(request));
-                                                               }},
-      holder_{new_incarnation(), options_.checks_fences}, started_{clock_reading()} {}
+    : context_{context},
+      options_{std::move(options)},
+      server_{context, options_.listen,
+              [this](cw_http_request request) { return serve(std::move(request)); }},
+      holder_{new_incarnation(), options_.checks_fences},
+      started_{clock_reading()} {}
 
 void cw_upstream_standin::begin_drain() {
     draining_ = true;
--- /dev/null
+++ b/Tests/Config/cw_relay_test.cpp
@@ -0,0 +1,135 @@
+#include "cw_relay.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One domain of hosts whose relays talk over an in-memory network without loss; some hosts are
+/// dead.
+struct relay_domain {
+    explicit relay_domain(std::size_t count = 40) {
+        for (std::size_t i = 0; i < count; ++i) {
+            names.push_back("h" + std::to_string(100 + i));
+        }
+        for (const auto& name : names) {
+            relays.emplace(name, cw_relay{name, {}, std::hash<std::string>{}(name)});
+            relays.at(name).set_hosts(names, {});
+        }
+    }
+
+    void flush(const std::string& name) {
+        for (const auto& command : relays.at(name).take_commands()) {
+            ++messages;
+            if (!dead.contains(command.host)) {
+                queue.push_back({name, command});
+            }
+        }
+    }
+
+    void run(std::chrono::milliseconds length) {
+        for (const auto end = now + length; now < end; now += 10ms) {
+            for (const auto& name : names) {
+                if (!dead.contains(name)) {
+                    relays.at(name).on_tick(now);
+                    flush(name);
+                }
+            }
+            while (!queue.empty()) {
+                const auto [from, command] = queue.front();
+                queue.pop_front();
+                deliver(from, command);
+            }
+        }
+    }
+
+    void deliver(const std::string& from, const cw_relay_command& command) {
+        auto& target = relays.at(command.host);
+        switch (command.action) {
+        case cw_relay_command::kind::offer:
+            target.on_offer(from, command.version, now);
+            break;
+        case cw_relay_command::kind::acknowledge:
+            target.on_acknowledgement(from, command.version);
+            break;
+        case cw_relay_command::kind::fetch:
+            relays.at(from).on_version(target.version(), now);
+            flush(from);
+            return;
+        }
+        flush(command.host);
+    }
+
+    std::size_t behind(std::uint64_t version) const {
+        std::size_t count = 0;
+        for (const auto& name : names) {
+            count += !dead.contains(name) && relays.at(name).version() < version ? 1 : 0;
+        }
+        return count;
+    }
+
+    void learn(const std::string& name, std::uint64_t version) {
+        relays.at(name).on_version(version, now);
+        flush(name);
+    }
+
+    std::vector<std::string> names;
+    std::map<std::string, cw_relay> relays;
+    std::set<std::string> dead;
+    std::deque<std::pair<std::string, cw_relay_command>> queue;
+    std::size_t messages = 0;
+    cw_time_point now{1h};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(relay_domain, "version_learned_by_watcher_reaches_all_at_once") {
+    learn("h100", 7);
+    run(20ms);
+    CHECK(behind(7) == 0);
+    CHECK(messages <= 4 * names.size());
+}
+
+TEST_CASE_FIXTURE(relay_domain, "version_learned_by_second_watcher_alone_reaches_all") {
+    dead.insert("h100");
+    learn("h101", 7);
+    run(500ms);
+    CHECK(behind(7) == 0);
+}
+
+TEST_CASE_FIXTURE(relay_domain, "version_passes_dead_inner_hosts") {
+    dead = {"h102", "h103", "h108"};
+    learn("h100", 7);
+    run(1s);
+    CHECK(behind(7) == 0);
+}
+
+TEST_CASE_FIXTURE(relay_domain, "host_that_was_away_catches_up_by_repair") {
+    dead.insert("h120");
+    learn("h100", 7);
+    run(100ms);
+    dead.clear();
+    run(20s);
+    CHECK(behind(7) == 0);
+}
+
+TEST_CASE_FIXTURE(relay_domain, "version_older_is_never_taken_again") {
+    learn("h100", 7);
+    run(100ms);
+    learn("h105", 6);
+    run(3s);
+    CHECK(behind(7) == 0);
+}
+
+TEST_CASE_FIXTURE(relay_domain, "watchers_are_the_first_two_by_name") {
+    std::size_t watchers = 0;
+    for (const auto& [name, relay] : relays) {
+        watchers += relay.is_watcher() ? 1 : 0;
+    }
+    CHECK(watchers == 2);
+}
--- a/Tests/Ownership/cw_ownership_bench.cpp
+++ b/Tests/Ownership/cw_ownership_bench.cpp
@@ -43,7 +43,9 @@
 } // namespace
 
 cw_ownership_bench::cw_ownership_bench(const options& chosen)
-    : options_{chosen}, engine_{chosen.seed}, config_{make_config(chosen)} {
+    : options_{chosen},
+      engine_{chosen.seed},
+      config_{make_config(chosen)} {
     for (std::size_t d = 0; d < chosen.domains; ++d) {
         const auto domain = "d" + std::to_string(d);
         for (std::size_t i = 0; i < chosen.upstreams; ++i) {
--- a/Tests/Ownership/cw_ownership_test.cpp
+++ b/Tests/Ownership/cw_ownership_test.cpp
@@ -8,7 +8,8 @@
 
 /// Two domains with three keepers and three upstreams each, settled.
 struct settled_estate {
-    explicit settled_estate(cw_ownership_bench::options chosen = {}) : bench{chosen} {
+    explicit settled_estate(cw_ownership_bench::options chosen = {})
+        : bench{chosen} {
         bench.run(3s);
         REQUIRE(bench.unowned() == 0);
         bench.reset_gaps();
--- a/Tests/Ownership/cw_random_schedule.cpp
+++ b/Tests/Ownership/cw_random_schedule.cpp
@@ -23,6 +23,12 @@
     chosen.cut_off = engine() % 2 == 0 ? cw_cut_off_policy::hold : cw_cut_off_policy::release;
     chosen.drop = engine() % 2 == 0 ? 0.0 : 0.05;
     chosen.repeat = engine() % 2 == 0 ? 0.0 : 0.1;
+    if (engine() % 2 == 0) {
+        // Quick suspicion makes keepers act on each other's errors, which usual timings hide.
+        chosen.timings.suspicion = std::chrono::milliseconds{60};
+        chosen.timings.probe = std::chrono::milliseconds{20};
+        chosen.timings.ask = std::chrono::milliseconds{20};
+    }
     chosen.lost_reply = engine() % 2 == 0 ? 0.0 : 0.2;
     return chosen;
 }
@@ -30,10 +36,12 @@
 /// Draws faults and applies them to the bench.
 class fault_source {
 public:
-    fault_source(cw_ownership_bench& bench, std::uint64_t seed) : bench_{bench}, engine_{seed} {}
+    fault_source(cw_ownership_bench& bench, std::uint64_t seed)
+        : bench_{bench},
+          engine_{seed} {}
 
     void apply_one(std::vector<std::string>& actions) {
-        const auto kind = engine_() % 15;
+        const auto kind = engine_() % 16;
         const auto keeper = pick(bench_.keeper_names());
         const auto upstream = pick(bench_.upstream_names());
         const auto length = std::chrono::milliseconds{50 + engine_() % 3000};
@@ -92,6 +100,9 @@
         case 12:
             split_over_frozen(keeper, upstream, actions);
             break;
+        case 14:
+            return_without_store(keeper, actions);
+            break;
         case 13:
             bench_.set_slow_grants(engine_() % 2 == 0 ? 0.0 : 0.2);
             text("grants slow");
@@ -149,6 +160,16 @@
         }
     }
 
+    /// A domain is cut off, and later reaches the other domain again but not the store.
+    void return_without_store(const std::string& keeper, std::vector<std::string>& actions) {
+        const auto domain = keeper.substr(0, 2);
+        actions.push_back("cut off " + domain + ", back without the store");
+        bench_.cut_both(domain, "*");
+        bench_.run(std::chrono::milliseconds{150 + engine_() % 600});
+        bench_.heal();
+        bench_.cut_both(domain, "store");
+    }
+
     std::string pick(const std::vector<std::string>& names) {
         return names[engine_() % names.size()];
     }
--- a/Tests/Ownership/cw_tenure_test.cpp
+++ b/Tests/Ownership/cw_tenure_test.cpp
@@ -13,7 +13,9 @@
 /// A tenure of 200 ms with two peers that may supersede it.
 struct asked_tenure {
     cw_tenure tenure{200ms};
-    std::vector<std::string> peers{"a", "b"};
+    cw_ring_member a{"a", 1};
+    cw_ring_member b{"b", 1};
+    std::vector<cw_ring_member> peers{a, b};
     cw_time_point start{1h};
 };
 
@@ -28,23 +30,31 @@
 }
 
 TEST_CASE_FIXTURE(asked_tenure, "promise_late_counts_from_the_ask") {
-    tenure.on_ask_sent("a", 1, start);
-    tenure.on_ask_sent("b", 2, start + 50ms);
-    tenure.on_promise("a", 1);
-    tenure.on_promise("b", 2);
+    tenure.on_ask_sent(a, 1, start);
+    tenure.on_ask_sent(b, 2, start + 50ms);
+    tenure.on_promise(a, 1);
+    tenure.on_promise(b, 2);
     CHECK(tenure.end(peers) == start + 200ms);
 }
 
 TEST_CASE_FIXTURE(asked_tenure, "promise_of_one_peer_alone_does_not_confirm") {
-    tenure.on_ask_sent("a", 1, start);
-    tenure.on_promise("a", 1);
+    tenure.on_ask_sent(a, 1, start);
+    tenure.on_promise(a, 1);
     CHECK_FALSE(tenure.holds(peers, start));
 }
 
 TEST_CASE_FIXTURE(asked_tenure, "promise_from_wrong_peer_is_ignored") {
-    tenure.on_ask_sent("a", 1, start);
-    tenure.on_promise("b", 1);
-    CHECK_FALSE(tenure.holds({"b"}, start));
+    tenure.on_ask_sent(a, 1, start);
+    tenure.on_promise(b, 1);
+    CHECK_FALSE(tenure.holds({b}, start));
+}
+
+TEST_CASE_FIXTURE(asked_tenure, "promise_from_later_incarnation_is_ignored") {
+    tenure.on_ask_sent(a, 1, start);
+    tenure.on_ask_sent(b, 2, start);
+    tenure.on_promise(a, 1);
+    tenure.on_promise({"b", 2}, 2);
+    CHECK_FALSE(tenure.holds(peers, start));
 }
 
 TEST_CASE_FIXTURE(asked_tenure, "store_confirmation_replaces_promises") {
