--- /dev/null
+++ b/bench/cw_bare_proxy.cpp
@@ -0,0 +1,103 @@
+/// A bare pass-through proxy on Beast: no keys, leases, limits or outcomes. The baseline for the router's cost.
+
+#include "cw_address.h"
+#include "cw_async.h"
+#include "cw_http_message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using stream = boost::beast::tcp_stream;
+
+/// Connections to the one upstream.
+class pool {
+public:
+    pool(net::io_context& context, const cw_address& target) : context_{context}, target_{target} {}
+
+    net::awaitable<std::unique_ptr<stream>> take() {
+        if (!idle_.empty()) {
+            auto connection = std::move(idle_.back());
+            idle_.pop_back();
+            co_return connection;
+        }
+        auto connection = std::make_unique<stream>(context_);
+        boost::system::error_code failure;
+        co_await connection->async_connect(target_.tcp(), cw_into(failure));
+        connection->socket().set_option(net::ip::tcp::no_delay{true}, failure);
+        co_return connection;
+    }
+
+    void put_back(std::unique_ptr<stream> connection) { idle_.push_back(std::move(connection)); }
+
+private:
+    net::io_context& context_;
+    cw_address target_;
+    std::vector<std::unique_ptr<stream>> idle_;
+};
+
+net::awaitable<void> serve(net::ip::tcp::socket socket, pool& upstreams) {
+    stream caller{std::move(socket)};
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code failure;
+    while (!failure) {
+        cw_http_request request;
+        co_await http::async_read(caller, buffer, request, cw_into(failure));
+        if (failure) {
+            break;
+        }
+        auto upstream = co_await upstreams.take();
+        co_await http::async_write(*upstream, request, cw_into(failure));
+        boost::beast::flat_buffer answer_buffer;
+        cw_http_response answer;
+        if (!failure) {
+            co_await http::async_read(*upstream, answer_buffer, answer, cw_into(failure));
+        }
+        if (!failure) {
+            upstreams.put_back(std::move(upstream));
+            co_await http::async_write(caller, answer, cw_into(failure));
+        }
+    }
+}
+
+net::awaitable<void> accept(net::ip::tcp::acceptor& acceptor, net::io_context& context,
+                            pool& upstreams) {
+    while (true) {
+        boost::system::error_code failure;
+        auto socket = co_await acceptor.async_accept(cw_into(failure));
+        if (!failure) {
+            socket.set_option(net::ip::tcp::no_delay{true}, failure);
+            net::co_spawn(context, serve(std::move(socket), upstreams), net::detached);
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const auto listen = argc == 3 ? cw_address::parse(argv[1]) : std::nullopt;
+    const auto target = argc == 3 ? cw_address::parse(argv[2]) : std::nullopt;
+    if (!listen || !target) {
+        std::cerr << "usage: cw_bare_proxy LISTEN-IP:PORT UPSTREAM-IP:PORT\n";
+        return EXIT_FAILURE;
+    }
+    net::io_context context{1};
+    net::ip::tcp::acceptor acceptor{context, listen->tcp()};
+    pool upstreams{context, *target};
+    net::co_spawn(context, accept(acceptor, context, upstreams), net::detached);
+    context.run();
+}
