--- /dev/null
+++ b/Source/cw_deadline_sweeper.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "cw_time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+
+/// Cancels socket operations that have passed their deadlines, for all connections of one thread.
+///
+/// A timer per operation costs more than the operation itself; one sweep every few milliseconds
+/// over the operations that wait costs next to nothing and is exact enough for deadlines of
+/// requests.
+class cw_deadline_sweeper {
+    struct entry {
+        boost::asio::ip::tcp::socket* socket;
+        cw_time_point deadline;
+        bool fired;
+    };
+
+public:
+    explicit cw_deadline_sweeper(boost::asio::io_context& context)
+        : timer_{context} {}
+
+    /// Watches a socket's operations for as long as it lives.
+    class guard {
+    public:
+        guard(cw_deadline_sweeper& sweeper, boost::asio::ip::tcp::socket& socket,
+              cw_time_point deadline)
+            : entries_{sweeper.entries_},
+              place_{entries_.insert(entries_.end(), entry{&socket, deadline, false})} {}
+        ~guard() { entries_.erase(place_); }
+        guard(const guard&) = delete;
+        guard& operator=(const guard&) = delete;
+
+        /// Moves the deadline, for the next of several operations.
+        void extend(cw_time_point deadline) { place_->deadline = deadline; }
+        /// True when the deadline passed and the operation was cancelled.
+        [[nodiscard]] bool has_fired() const { return place_->fired; }
+
+    private:
+        std::list<entry>& entries_;
+        std::list<entry>::iterator place_;
+    };
+
+    /// Sweeps until the context stops.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::steady_timer timer_;
+    std::list<entry> entries_;
+};
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -73,7 +74,8 @@
 }
 
 cw_attempt_result failure_after_sending(const boost::system::error_code& failure) {
-    if (failure == boost::beast::error::timeout) {
+    // Only the deadline sweeper cancels operations.
+    if (failure == net::error::operation_aborted) {
         return cw_attempt_result::timed_out;
     }
     if (failure == http::error::end_of_stream ||
@@ -119,7 +121,8 @@
 
 cw_proxy_session::cw_proxy_session(cw_traffic_context& traffic, net::ip::tcp::socket socket)
     : traffic_{traffic},
-      caller_{std::move(socket)} {}
+      caller_{std::move(socket)},
+      caller_deadline_{traffic.sweeper, caller_, cw_time_point::max()} {}
 
 net::awaitable<void> cw_proxy_session::run(std::unique_ptr<cw_proxy_session> session) {
     // The result is kept in a variable: g++ 12 miscompiles a loop whose condition awaits and whose
@@ -134,12 +137,12 @@
     header_parser parser;
     parser.body_limit(boost::none);
     boost::system::error_code failure;
-    caller_.expires_after(idle_timeout);
+    caller_deadline_.extend(now() + idle_timeout);
     co_await http::async_read_header(caller_, buffer_, parser, cw_into(failure));
     if (failure) {
         co_return false;
     }
-    caller_.expires_never();
+    caller_deadline_.extend(cw_time_point::max());
     ++traffic_.shared.open_requests;
     struct closing {
         std::atomic<std::int64_t>& count;
@@ -147,14 +150,15 @@
     } const closing_guard{traffic_.shared.open_requests};
     exchange current;
     current.started = now();
-    current.request.base() = parser.get().base();
     const bool keep_alive = parser.get().keep_alive();
-    if (!co_await read_body(parser, current)) {
+    const bool complete = co_await read_body(parser, current);
+    if (!complete) {
         co_return false;
     }
+    current.request.base() = std::move(parser.get().base());
     const bool intact = co_await forward(current);
-    co_return intact&& keep_alive && !traffic_.shared.is_stopping() &&
-        current.streamed_body == nullptr;
+    const bool reusable = keep_alive && current.streamed_body == nullptr;
+    co_return intact ? reusable && !traffic_.shared.is_stopping() : false;
 }
 
 net::awaitable<bool> cw_proxy_session::read_body(header_parser& parser, exchange& current) {
@@ -171,12 +175,11 @@
     if (!length || *length == 0) {
         co_return true;
     }
-    http::request_parser<http::string_body> whole{std::move(parser)};
     boost::system::error_code failure;
-    caller_.expires_after(idle_timeout);
-    co_await http::async_read(caller_, buffer_, whole, cw_into(failure));
-    caller_.expires_never();
-    current.request.body() = std::move(whole.get().body());
+    caller_deadline_.extend(now() + idle_timeout);
+    co_await http::async_read(caller_, buffer_, parser, cw_into(failure));
+    caller_deadline_.extend(cw_time_point::max());
+    current.request.body() = std::move(parser.get().body());
     co_return !failure;
 }
 
@@ -235,6 +238,12 @@
         case cw_next_step::retry_elsewhere:
             break;
         }
+        if (current.body_consumed) {
+            // The body has been read off the caller's connection and cannot be sent a second time.
+            co_return co_await answer_refusal(current, cw_surely_did_not_run(result)
+                                                           ? cw_outcome::did_not_run
+                                                           : cw_outcome::unknown);
+        }
         // Asking the same owner again is of no use when it cannot be reached or says it is not the
         // owner.
         const bool needs_new_owner = result == cw_attempt_result::not_connected ||
@@ -340,13 +349,15 @@
         }
         upstream = traffic_.pool.make();
         boost::system::error_code failure;
-        upstream->expires_at(std::min<cw_time_point>(now() + connect_timeout, current.deadline));
+        const cw_deadline_sweeper::guard connecting{
+            traffic_.sweeper, *upstream,
+            std::min<cw_time_point>(now() + connect_timeout, current.deadline)};
         co_await upstream->async_connect(endpoint->tcp(), cw_into(failure));
         if (failure) {
             current.reason = "connect: " + failure.message();
             co_return cw_attempt_result::not_connected;
         }
-        upstream->socket().set_option(net::ip::tcp::no_delay{true}, failure);
+        upstream->set_option(net::ip::tcp::no_delay{true}, failure);
     }
     const auto result = co_await send_and_receive(current, *upstream);
     const bool whole = result == cw_attempt_result::answered ||
@@ -360,8 +371,9 @@
 
 net::awaitable<cw_attempt_result>
 cw_proxy_session::send_and_receive(exchange& current, cw_upstream_pool::stream& upstream) {
-    upstream.expires_at(current.deadline);
+    const cw_deadline_sweeper::guard waiting{traffic_.sweeper, upstream, current.deadline};
     if (current.streamed_body != nullptr) {
+        current.body_consumed = true;
         if (!co_await stream_request(current, upstream)) {
             current.reason = "the request's body broke off";
             co_return cw_attempt_result::connection_lost;
@@ -399,7 +411,7 @@
         if (!parser.is_done()) {
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
-            caller_.expires_after(idle_timeout);
+            caller_deadline_.extend(now() + idle_timeout);
             co_await http::async_read(caller_, buffer_, parser, cw_into(failure));
             if (failure == http::error::need_buffer) {
                 failure = {};
@@ -420,14 +432,14 @@
             failure = {};
         }
     }
-    caller_.expires_never();
+    caller_deadline_.extend(cw_time_point::max());
     co_return !failure;
 }
 
 net::awaitable<cw_attempt_result> cw_proxy_session::receive(exchange& current,
                                                             cw_upstream_pool::stream& upstream) {
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::empty_body> head;
+    http::response_parser<http::string_body> head;
     head.body_limit(boost::none);
     head.skip(current.request.method() == http::verb::head);
     boost::system::error_code failure;
@@ -441,15 +453,14 @@
     if (has_body && (!length || *length > largest_held_body)) {
         co_return co_await stream_answer(current, upstream, buffer, head);
     }
-    http::response_parser<http::string_body> whole{std::move(head)};
-    if (!whole.is_done()) {
-        co_await http::async_read(upstream, buffer, whole, cw_into(failure));
+    if (has_body) {
+        co_await http::async_read(upstream, buffer, head, cw_into(failure));
     }
     if (failure) {
         current.reason = "receive: " + failure.message();
         co_return failure_after_sending(failure);
     }
-    current.answer = whole.release();
+    current.answer = head.release();
     if (const auto refused = refusal_of(current.answer)) {
         current.reason =
             "refused by the upstream: " + std::string{current.answer[cw_header_refused]};
@@ -483,7 +494,6 @@
         if (!parser.is_done()) {
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
-            upstream.expires_at(current.deadline);
             co_await http::async_read(upstream, buffer, parser, cw_into(failure));
             if (failure == http::error::need_buffer) {
                 failure = {};
@@ -499,7 +509,7 @@
             message.body().size = 0;
             message.body().more = false;
         }
-        caller_.expires_after(idle_timeout);
+        caller_deadline_.extend(now() + idle_timeout);
         co_await http::async_write(caller_, serializer, cw_into(failure));
         if (failure == http::error::need_buffer) {
             failure = {};
@@ -507,10 +517,10 @@
     }
     current.answer.keep_alive(!until_close && parser.get().keep_alive());
     if (failure || !parser.is_done()) {
-        caller_.close();
+        caller_.close(failure);
         co_return cw_attempt_result::connection_lost;
     }
-    caller_.expires_never();
+    caller_deadline_.extend(cw_time_point::max());
     co_return cw_attempt_result::answered;
 }
 
@@ -524,14 +534,14 @@
     const bool last = traffic_.shared.is_stopping() || current.streamed_body != nullptr;
     message.keep_alive(!last);
     boost::system::error_code failure;
-    caller_.expires_after(idle_timeout);
+    caller_deadline_.extend(now() + idle_timeout);
     if (current.request.method() == http::verb::head) {
         http::response_serializer<http::string_body> serializer{message};
         co_await http::async_write_header(caller_, serializer, cw_into(failure));
     } else {
         co_await http::async_write(caller_, message, cw_into(failure));
     }
-    caller_.expires_never();
+    caller_deadline_.extend(cw_time_point::max());
     traffic_.metrics.on_answer(outcome, now() - current.started);
     co_return !failure;
 }
--- a/Source/cw_proxy_session.h
+++ b/Source/cw_proxy_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_attempt.h"
+#include "cw_deadline_sweeper.h"
 #include "cw_http_message.h"
 #include "cw_retry_budget.h"
 #include "cw_route_view.h"
@@ -11,8 +12,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <string>
@@ -24,11 +23,13 @@
     cw_traffic_context(boost::asio::io_context& io, cw_router_shared& state)
         : context{io},
           shared{state},
-          pool{io} {}
+          pool{io},
+          sweeper{io} {}
 
     boost::asio::io_context& context;
     cw_router_shared& shared;
     cw_upstream_pool pool;
+    cw_deadline_sweeper sweeper;
     cw_router_metrics metrics;
     cw_retry_budget budget;
 };
@@ -47,13 +48,15 @@
     static boost::asio::awaitable<void> run(std::unique_ptr<cw_proxy_session> session);
 
 private:
-    using header_parser = boost::beast::http::request_parser<boost::beast::http::empty_body>;
+    using header_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     /// One request on its way.
     struct exchange {
         cw_http_request request;
         /// Set when the body is too large to hold; its bytes are still on the caller's connection.
         header_parser* streamed_body = nullptr;
+        /// True once the body has been read off the caller's connection.
+        bool body_consumed = false;
         cw_route route;
         std::shared_ptr<const cw_route_view> view;
         std::string address;
@@ -89,6 +92,7 @@
     void prepare_request(exchange& current);
 
     cw_traffic_context& traffic_;
-    boost::beast::tcp_stream caller_;
+    boost::asio::ip::tcp::socket caller_;
+    cw_deadline_sweeper::guard caller_deadline_;
     boost::beast::flat_buffer buffer_;
 };
--- a/Source/cw_traffic_thread.cpp
+++ b/Source/cw_traffic_thread.cpp
@@ -28,6 +28,7 @@
 
 void cw_traffic_thread::start() {
     net::co_spawn(context_, accept(), net::detached);
+    net::co_spawn(context_, traffic_.sweeper.run(), net::detached);
     thread_ = std::jthread{[this] { context_.run(); }};
 }
 
--- a/Source/cw_upstream_pool.cpp
+++ b/Source/cw_upstream_pool.cpp
@@ -8,7 +8,7 @@
 
 bool is_usable(cw_upstream_pool::stream& connection) {
     char byte = 0;
-    const auto handle = connection.socket().native_handle();
+    const auto handle = connection.native_handle();
     const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
@@ -30,7 +30,6 @@
 void cw_upstream_pool::put_back(const std::string& address, std::unique_ptr<stream> connection) {
     auto& idle = idle_[address];
     if (idle.size() < most_idle) {
-        connection->expires_never();
         idle.push_back(std::move(connection));
     }
 }
--- a/Source/cw_upstream_pool.h
+++ b/Source/cw_upstream_pool.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -13,7 +13,7 @@
 /// another request.
 class cw_upstream_pool {
 public:
-    using stream = boost::beast::tcp_stream;
+    using stream = boost::asio::ip::tcp::socket;
 
     explicit cw_upstream_pool(boost::asio::io_context& context)
         : context_{context} {}
--- a/bench/cw_bare_proxy.cpp
+++ b/bench/cw_bare_proxy.cpp
@@ -1,4 +1,5 @@
-/// A bare pass-through proxy on Beast: no keys, leases, limits or outcomes. The baseline for the router's cost.
+/// A bare pass-through proxy on Beast: no keys, leases, limits or outcomes. The baseline for the
+/// router's cost.
 
 #include "cw_address.h"
 #include "cw_async.h"
@@ -27,7 +28,9 @@
 /// Connections to the one upstream.
 class pool {
 public:
-    pool(net::io_context& context, const cw_address& target) : context_{context}, target_{target} {}
+    pool(net::io_context& context, const cw_address& target)
+        : context_{context},
+          target_{target} {}
 
     net::awaitable<std::unique_ptr<stream>> take() {
         if (!idle_.empty()) {
--- a/bench/cw_closed_loop.cpp
+++ b/bench/cw_closed_loop.cpp
@@ -1,4 +1,5 @@
-/// A closed loop of callers: cw_closed_loop IP:PORT PATH CONNECTIONS SECONDS. Prints rate and latencies as CSV.
+/// A closed loop of callers: cw_closed_loop IP:PORT PATH CONNECTIONS SECONDS. Prints rate and
+/// latencies as CSV.
 
 #include "cw_address.h"
 #include "cw_async.h"
--- a/bench/cw_spread_compare.cpp
+++ b/bench/cw_spread_compare.cpp
@@ -1,5 +1,6 @@
-/// Compares ways to spread one version over all hosts, on an in-memory table of neighbours: messages, bytes, rounds,
-/// and hosts not reached, with some hosts lost. The tree is the product's own cw_relay; the others are plain models.
+/// Compares ways to spread one version over all hosts, on an in-memory table of neighbours:
+/// messages, bytes, rounds, and hosts not reached, with some hosts lost. The tree is the product's
+/// own cw_relay; the others are plain models.
 
 #include "cw_relay.h"
 
@@ -96,7 +97,8 @@
     return count_missed(hosts, reached, result);
 }
 
-/// The name-ordered ring with pointers over 2^h hosts: each holder covers the span up to its end by halves.
+/// The name-ordered ring with pointers over 2^h hosts: each holder covers the span up to its end by
+/// halves.
 figures skip_ring(const estate& hosts) {
     figures result;
     std::vector<bool> reached(hosts.count, false);
@@ -119,7 +121,8 @@
             if (first + step >= stop) {
                 continue;
             }
-            // A lost neighbour is skipped for the next living one of its span, found by one more offer each.
+            // A lost neighbour is skipped for the next living one of its span, found by one more
+            // offer each.
             auto target = first + step;
             while (target < stop && hosts.lost[target]) {
                 ++result.offers;
@@ -143,7 +146,9 @@
 /// The product's relays of all hosts over a network that delays each message by one hop.
 class relay_network {
 public:
-    explicit relay_network(const estate& hosts) : hosts_{hosts}, sent_(hosts.count, 0) {
+    explicit relay_network(const estate& hosts)
+        : hosts_{hosts},
+          sent_(hosts.count, 0) {
         std::map<std::size_t, std::vector<std::string>> members;
         for (std::size_t i = 0; i < hosts.count; ++i) {
             members[hosts.domain_of(i)].push_back(name(i));
