Keep the length of streamed bodies

Cause: Beast's chunked(false) erases Content-Length too. A streamed request reached the upstream without an end, and a streamed answer ended with the connection, so that a broken one could not have been told from a whole one. Ruled out: limits of the stand-in; chunked bodies of the same size passed. Change: the flag is only ever set. Tests/Routing/streams.sh sends 1.5 MB with a length and in chunks, reads 20 MB, and looks for the length.

--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -375,7 +375,6 @@
     if (current.streamed_body != nullptr) {
         current.body_consumed = true;
         if (!co_await stream_request(current, upstream)) {
-            current.reason = "the request's body broke off";
             co_return cw_attempt_result::connection_lost;
         }
     } else {
@@ -400,7 +399,10 @@
     parser.body_limit(boost::none);
     http::request<http::buffer_body> message;
     message.base() = current.request.base();
-    message.chunked(chunked);
+    // Clearing the chunked flag would erase the length as well, and with it the end of the body.
+    if (chunked) {
+        message.chunked(true);
+    }
     message.body().data = nullptr;
     message.body().more = true;
     http::request_serializer<http::buffer_body> serializer{message};
@@ -417,6 +419,7 @@
                 failure = {};
             }
             if (failure) {
+                current.reason = "receive from the caller: " + failure.message();
                 co_return false;
             }
             message.body().data = chunk.data();
@@ -433,6 +436,9 @@
         }
     }
     caller_deadline_.extend(cw_time_point::max());
+    if (failure) {
+        current.reason = "send to the upstream: " + failure.message();
+    }
     co_return !failure;
 }
 
@@ -480,7 +486,9 @@
     remove_hop_headers(message);
     message.set(cw_header_outcome, "answered");
     // A body that ends with the connection cannot be told from one that broke off; chunks can.
-    message.chunked(!length);
+    if (!length) {
+        message.chunked(true);
+    }
     message.keep_alive(true);
     message.body().data = nullptr;
     message.body().more = true;
--- a/Tests/Routing/streams.sh
+++ b/Tests/Routing/streams.sh
@@ -33,6 +33,8 @@
 check "a small request arrives whole" grep -q '"received":5' "$work/answer"
 curl -sS "http://$router/archive/raw?size=20000000" >"$work/answer"
 check "a large answer arrives whole" [ "$(stat -c %s "$work/answer")" -eq 20000000 ]
+curl -sS -D "$work/head" -o /dev/null "http://$router/archive/raw?size=20000000"
+check "a large answer states its length" grep -qi '^content-length: 20000000' "$work/head"
 curl -sS "http://$router/archive/raw?size=200000" >"$work/answer"
 check "an answer that is held arrives whole" [ "$(stat -c %s "$work/answer")" -eq 200000 ]
 curl -sS -I "http://$router/gallery/k/x" >"$work/answer"
