Make a keeper's work grow with its upstreams, not with their square

Cause: each answered renewal walked all leases, and each tick counted all slices of the table for every upstream. Change: an answer tends its own lease only; the places of upstreams are worked out anew when hosts, tables or services change; tables know how many slices each owner has.

--- a/Source/cw_keeper_core.cpp
+++ b/Source/cw_keeper_core.cpp
@@ -61,6 +61,7 @@
 void cw_keeper_core::handle(const cw_hosts_event& event, cw_time_point now) {
     context_.set_hosts(event.hosts, now);
     update_relay_hosts();
+    leases_.refresh();
 }
 
 void cw_keeper_core::handle(const cw_config_event& event, cw_time_point now) {
@@ -70,6 +71,7 @@
     }
     context_.set_config(event.config);
     update_relay_hosts();
+    leases_.refresh();
     relay_.on_version(event.config->version, now);
     context_.note("config-in-force", "version " + std::to_string(event.config->version));
 }
@@ -169,9 +171,6 @@
 void cw_keeper_core::handle(const cw_lease_reply& event, cw_time_point now) {
     leases_.on_reply(event, now);
     mover_.on_reply(event, now);
-    if (membership_.ring() && !stopping_) {
-        leases_.on_tick(now);
-    }
 }
 
 void cw_keeper_core::handle(const cw_router_load_event& event, cw_time_point /*now*/) {
--- a/Source/cw_lease_keeper.cpp
+++ b/Source/cw_lease_keeper.cpp
@@ -98,7 +98,7 @@
     lease.address = address;
 }
 
-void cw_lease_keeper::refresh_upstreams() {
+void cw_lease_keeper::refresh() {
     for (const auto& [id, host] : context_.hosts()) {
         const auto* service = context_.service_config(host.service);
         const auto* stored = context_.table(host.service);
@@ -178,7 +178,7 @@
         touched->second.writer == table.writer()) {
         admitted_[table.service()] = membership_.joined_epoch();
     }
-    refresh_upstreams();
+    refresh();
     for (auto& [id, lease] : leases_) {
         if (lease.service == table.service() && table.fence_of(id) > lease.held_fence) {
             lease.next_send = now;
@@ -211,14 +211,19 @@
 }
 
 void cw_lease_keeper::on_tick(cw_time_point now) {
-    refresh_upstreams();
     admit_services(now);
     for (auto& [id, lease] : leases_) {
-        expire_exchange(lease, now);
-        if (is_responsible(id, now)) {
-            lift_foreign_hold(id, lease, now);
-            renew(id, lease, now);
-        }
+        tend(id, lease, now);
+    }
+}
+
+void cw_lease_keeper::tend(const std::string& upstream, cw_upstream_lease& lease,
+                           cw_time_point now) {
+    expire_exchange(lease, now);
+    const bool due = lease.exchange == 0 && now >= lease.next_send;
+    if (due && is_responsible(upstream, now)) {
+        lift_foreign_hold(upstream, lease, now);
+        renew(upstream, lease, now);
     }
 }
 
@@ -340,6 +345,7 @@
     if (reply.outcome == cw_lease_outcome::stale_fence) {
         handle_stale_fence(reply, state, now);
     }
+    tend(reply.upstream, state, now);
 }
 
 void cw_lease_keeper::handle_stale_fence(const cw_lease_reply& reply,
--- a/Source/cw_lease_keeper.h
+++ b/Source/cw_lease_keeper.h
@@ -20,6 +20,8 @@
     cw_lease_keeper(cw_keeper_context& context, cw_membership& membership);
 
     void on_tick(cw_time_point now);
+    /// Takes changed hosts, tables or services into account.
+    void refresh();
     void on_reply(const cw_lease_reply& reply, cw_time_point now);
     void on_table(const cw_stored_table& stored, cw_time_point now);
     void on_write(const cw_write_event& event);
@@ -52,12 +54,12 @@
         cw_time_point retry_at;
     };
 
-    void refresh_upstreams();
     void set_place(const std::string& upstream, const std::string& service,
                    const std::string& address);
     void admit_services(cw_time_point now);
     [[nodiscard]] bool is_released(const std::string& service, std::uint64_t table_epoch) const;
     void expire_exchange(cw_upstream_lease& lease, cw_time_point now);
+    void tend(const std::string& upstream, cw_upstream_lease& lease, cw_time_point now);
     void lift_foreign_hold(const std::string& upstream, cw_upstream_lease& lease,
                            cw_time_point now);
     void renew(const std::string& upstream, cw_upstream_lease& lease, cw_time_point now);
--- a/Source/cw_slice_owner.h
+++ b/Source/cw_slice_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -12,6 +13,8 @@
     std::string address;
     /// Fence of all grants to the upstream; it rises whenever the upstream's set of slices changes.
     std::uint64_t fence = 0;
+    /// Number of slices owned now; follows from the slices and is not stored.
+    std::size_t slices = 0;
 
     friend bool operator==(const cw_slice_owner&, const cw_slice_owner&) = default;
 };
--- a/Source/cw_slice_table.cpp
+++ b/Source/cw_slice_table.cpp
@@ -40,6 +40,7 @@
     for (const auto& upstream : upstreams) {
         table.owners_[upstream.id] = {upstream.domain, upstream.address, 1};
     }
+    table.count_slices();
     return table;
 }
 
@@ -55,7 +56,7 @@
             names.push_back(item.at(0).get<std::string>());
             table.owners_[names.back()] = {item.at(1).get<std::string>(),
                                            item.at(2).get<std::string>(),
-                                           item.at(3).get<std::uint64_t>()};
+                                           item.at(3).get<std::uint64_t>(), 0};
         }
         std::uint64_t first = 0;
         for (const auto& item : parsed.at("slices")) {
@@ -71,6 +72,7 @@
         return tl::unexpected(
             cw_error{"parse slice table", "store", "slices do not cover the ring"});
     }
+    table.count_slices();
     return table;
 }
 
@@ -87,9 +89,18 @@
     return owned;
 }
 
-bool cw_slice_table::owns_slices(std::string_view upstream) const {
-    return std::any_of(slices_.begin(), slices_.end(),
-                       [&](const cw_slice& slice) { return slice.owner == upstream; });
+bool cw_slice_table::owns_slices(const std::string& upstream) const {
+    const auto* known = owner(upstream);
+    return known != nullptr && known->slices > 0;
+}
+
+void cw_slice_table::count_slices() {
+    for (auto& [id, owner] : owners_) {
+        owner.slices = 0;
+    }
+    for (const auto& slice : slices_) {
+        ++owners_[slice.owner].slices;
+    }
 }
 
 std::uint64_t cw_slice_table::fence_of(const std::string& upstream) const {
@@ -151,6 +162,7 @@
     for (const auto& move : moves) {
         next.apply_move(move);
     }
+    next.count_slices();
     return next;
 }
 
--- a/Source/cw_slice_table.h
+++ b/Source/cw_slice_table.h
@@ -37,7 +37,7 @@
     [[nodiscard]] const std::vector<cw_slice>& slices() const { return slices_; }
     [[nodiscard]] const cw_slice& slice_of(std::uint64_t hash) const;
     [[nodiscard]] std::vector<cw_slice> owned_by(std::string_view upstream) const;
-    [[nodiscard]] bool owns_slices(std::string_view upstream) const;
+    [[nodiscard]] bool owns_slices(const std::string& upstream) const;
     /// The fence under which grants to this upstream are made; 0 when it never owned a slice.
     [[nodiscard]] std::uint64_t fence_of(const std::string& upstream) const;
     /// Every upstream that owns or has owned a slice.
@@ -56,6 +56,7 @@
 
 private:
     void apply_move(const cw_slice_move& move);
+    void count_slices();
 
     std::string service_;
     std::string writer_;
--- /dev/null
+++ b/bench/cw_slopes.cpp
@@ -0,0 +1,258 @@
+/// Measures the slopes that docs/CAPACITY.md is worked out from: one CSV row per slope and size, on
+/// standard output.
+
+#include "cw_config_parser.h"
+#include "cw_keeper_core.h"
+#include "cw_key_hash.h"
+#include "cw_lease_codec.h"
+#include "cw_lease_holder.h"
+#include "cw_peer_codec.h"
+#include "cw_planner.h"
+#include "cw_slice_table.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int repeats = 5;
+
+void row(const char* slope, std::size_t size, const char* unit, double value) {
+    std::printf("%s,%zu,%s,%.4g\n", slope, size, unit, value);
+}
+
+double cpu_seconds() {
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+double heap_bytes() {
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// Least processor time of several runs of the work.
+template <typename Work>
+double least_seconds(const Work& work) {
+    double least = 1e9;
+    for (int i = 0; i < repeats; ++i) {
+        const auto start = cpu_seconds();
+        work();
+        least = std::min(least, cpu_seconds() - start);
+    }
+    return least;
+}
+
+std::vector<cw_upstream_place> make_places(std::size_t count) {
+    std::vector<cw_upstream_place> places;
+    for (std::size_t i = 0; i < count; ++i) {
+        places.push_back({"gallery-" + std::to_string(i), "hakata", "10.0.0.1:8000"});
+    }
+    return places;
+}
+
+cw_slice_table make_table(std::size_t slices) {
+    constexpr std::size_t per_upstream = 8;
+    return cw_slice_table::initial("gallery",
+                                   make_places(std::max<std::size_t>(slices / per_upstream, 1)),
+                                   std::min(slices, per_upstream));
+}
+
+void measure_tables() {
+    for (const std::size_t slices : {80U, 800U, 8'000U, 80'000U}) {
+        const auto before = heap_bytes();
+        const auto table = make_table(slices);
+        row("table-memory", slices, "bytes", heap_bytes() - before);
+        const auto text = table.to_json();
+        row("table-stored", slices, "bytes", static_cast<double>(text.size()));
+        row("table-parse", slices, "us",
+            1e6 * least_seconds([&] { (void)cw_slice_table::parse(text); }));
+        constexpr int lookups = 200'000;
+        std::uint64_t found = 0;
+        const auto seconds = least_seconds([&] {
+            for (int i = 0; i < lookups; ++i) {
+                found += table.slice_of(cw_key_hash(std::to_string(i))).generation;
+            }
+        });
+        row("table-lookup", slices, "ns", 1e9 * seconds / lookups + (found == 0 ? 1 : 0));
+        const std::vector<cw_slice_move> moves{{table.slices().front().first,
+                                                table.slices().front().last,
+                                                table.slices().front().owner,
+                                                {"gallery-1", "hakata", "10.0.0.1:8000"}}};
+        row("table-change", slices, "us",
+            1e6 * least_seconds([&] { (void)table.moved(moves, 2).to_json(); }));
+    }
+}
+
+std::shared_ptr<const cw_config> make_config(std::size_t services) {
+    auto config = std::make_shared<cw_config>();
+    config->version = 1;
+    config->firms = {"firm"};
+    config->domains = {{"hakata", "firm", "kyushu"}};
+    for (std::size_t i = 0; i < services; ++i) {
+        cw_service_config service;
+        service.name = i == 0 ? "gallery" : "service-" + std::to_string(i);
+        service.firm = "firm";
+        service.prefix = "/" + service.name + "/";
+        config->services.push_back(service);
+    }
+    return config;
+}
+
+/// One keeper that renews all upstreams of its domain, with instant answers, for a stretch of
+/// virtual time.
+class single_keeper {
+public:
+    explicit single_keeper(std::size_t upstreams) {
+        std::vector<cw_host> hosts{{"k0", cw_host_kind::entry, "hakata", "", "10.0.0.2:1", false}};
+        for (const auto& place : make_places(upstreams)) {
+            hosts.push_back(
+                {place.id, cw_host_kind::upstream, "hakata", "gallery", place.address, false});
+            holders_.emplace(place.id, cw_lease_holder{1, true});
+        }
+        handle(cw_config_event{make_config(1)});
+        handle(cw_hosts_event{hosts});
+        run(2s);
+    }
+
+    void run(std::chrono::milliseconds length) {
+        for (const auto end = now_ + length; now_ < end; now_ += 10ms) {
+            handle(cw_tick_event{});
+        }
+    }
+
+    std::size_t grants = 0;
+    std::size_t grant_bytes = 0;
+
+private:
+    void handle(const cw_keeper_event& event) {
+        for (const auto& command : core_.decide(event, now_)) {
+            if (const auto* grant = std::get_if<cw_send_grant_command>(&command)) {
+                answer(grant->grant);
+            } else if (const auto* write = std::get_if<cw_write_command>(&command)) {
+                store_[write->key] = {store_[write->key].first + 1, write->value};
+                handle(cw_write_event{write->key, write->writer, cw_write_outcome::done});
+                tell(write->key);
+            } else if (const auto* read = std::get_if<cw_read_command>(&command)) {
+                tell(read->key);
+            }
+        }
+    }
+
+    void answer(const cw_lease_grant& grant) {
+        ++grants;
+        const cw_upstream_time at{
+            std::chrono::duration_cast<std::chrono::microseconds>(now_.time_since_epoch())};
+        const auto reply = holders_.at(grant.upstream).on_grant(grant, at);
+        grant_bytes += cw_encode_grant(grant).size() + cw_encode_reply(reply).size();
+        handle(reply);
+    }
+
+    void tell(const std::string& key) {
+        const auto& [version, value] = store_[key];
+        if (key.starts_with("ring/")) {
+            cw_ring ring;
+            ring.domain = "hakata";
+            handle(cw_ring_event{version == 0 ? ring : *cw_ring::parse(value), version, now_});
+        } else if (version != 0) {
+            handle(cw_table_event{*cw_slice_table::parse(value), version});
+        }
+    }
+
+    cw_time_point now_{1h};
+    cw_keeper_core core_{{"k0", 1}, "hakata", {}};
+    std::map<std::string, cw_lease_holder> holders_;
+    std::map<std::string, std::pair<std::uint64_t, std::string>> store_;
+};
+
+void measure_renewals() {
+    for (const std::size_t upstreams : {2U, 8U, 32U, 128U}) {
+        const auto before = heap_bytes();
+        single_keeper keeper{upstreams};
+        row("keeper-memory", upstreams, "bytes", heap_bytes() - before);
+        const auto grants = keeper.grants;
+        const auto bytes = keeper.grant_bytes;
+        const auto start = cpu_seconds();
+        keeper.run(20s);
+        row("keeper-cpu", upstreams, "us-per-s", 1e6 * (cpu_seconds() - start) / 20.0);
+        row("renewals", upstreams, "per-s", static_cast<double>(keeper.grants - grants) / 20.0);
+        row("renewal-bodies", upstreams, "bytes-per-s",
+            static_cast<double>(keeper.grant_bytes - bytes) / 20.0);
+    }
+}
+
+void measure_messages() {
+    const cw_ring_member self{"entry-hakata-1", 1'796'345'075'587'542};
+    const auto size = [&](const cw_peer_body& body) {
+        return static_cast<double>(cw_encode_peer_message({self, body}).size());
+    };
+    row("ask", 1, "bytes", size(cw_ask_message{1'000'000, "hakata", 120}));
+    row("promise", 1, "bytes", size(cw_promise_message{1'000'000}));
+    row("hold", 1, "bytes", size(cw_hold_message{1'000'000, "gallery-hakata-1", "gallery", 1'200}));
+    row("offer", 1, "bytes", size(cw_offer_message{11'000}));
+    for (const std::size_t slices : {6U, 12U, 24U, 48U}) {
+        cw_load_message load{"gallery", {}, {}};
+        for (std::size_t i = 0; i < slices; ++i) {
+            load.rates[(~std::uint64_t{0} / slices) * i] = 12.5;
+        }
+        row("load-report", slices, "bytes", size(load));
+        const auto data = cw_encode_peer_message({self, load});
+        row("load-report-cpu", slices, "us",
+            1e6 * least_seconds([&] { (void)cw_decode_peer_message(data); }));
+    }
+}
+
+void measure_config() {
+    for (const std::size_t services : {6U, 24U, 96U, 384U}) {
+        std::vector<cw_config_file> files;
+        std::size_t bytes = 0;
+        for (std::size_t i = 0; i < services / 6; ++i) {
+            const auto firm = "firm" + std::to_string(i);
+            std::string text = "[[firm]]\nname = \"" + firm + "\"\n";
+            for (std::size_t k = 0; k < 6; ++k) {
+                const auto name = firm + "-service" + std::to_string(k);
+                text += "[[service]]\nname = \"" + name + "\"\nfirm = \"" + firm +
+                        "\"\nprefix = \"/" + name +
+                        "/\"\ncut_off = \"release\"\nslots = 3\nconnections = 120\n";
+            }
+            bytes += text.size();
+            files.push_back({firm + ".toml", text});
+        }
+        row("config-bytes", services, "bytes", static_cast<double>(bytes));
+        row("config-parse", services, "us",
+            1e6 * least_seconds([&] { (void)cw_config_parser::parse(files); }));
+    }
+}
+
+void measure_plans() {
+    for (const std::size_t slices : {80U, 800U, 8'000U, 40'000U}) {
+        const auto table = make_table(slices);
+        cw_slice_loads loads;
+        for (const auto& slice : table.slices()) {
+            loads[slice.first] =
+                static_cast<double>(cw_key_hash(std::to_string(slice.first)) % 100);
+        }
+        const auto places = make_places(slices / 8);
+        row("plan", slices, "us", 1e6 * least_seconds([&] {
+                                      (void)cw_planner::balance(table, loads, places, {1.15, 4});
+                                  }));
+    }
+}
+
+} // namespace
+
+int main() {
+    std::puts("slope,size,unit,value");
+    measure_messages();
+    measure_tables();
+    measure_renewals();
+    measure_config();
+    measure_plans();
+}
