--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,176 @@
+#!/usr/bin/env bash
+# Writes docs/CAPACITY.md from the measured rows in bench/results: capacity.sh >docs/CAPACITY.md
+# `bench/measure.sh DIRECTORY-OF-PROGRAMS` makes the rows anew.
+set -eu
+here=$(cd "$(dirname "$0")" && pwd)
+rows=$here/results
+fits=$(awk -f "$here/fit.awk" "$rows/slopes.csv")
+
+base() { awk -F, -v n="$1" '$1 == n {print $3}' <<<"$fits"; }
+per() { awk -F, -v n="$1" '$1 == n {print $4}' <<<"$fits"; }
+calc() { awk "BEGIN {printf \"${2:-%.1f}\", $1}"; }
+# cost COLUMN: base and slope of one column of the estate's costs, over upstreams per keeper.
+cost() {
+    awk -F, -v c="$1" 'NR > 1 {n++; sx += $1; sy += $c; sxx += $1 * $1; sxy += $1 * $c}
+        END {b = (n * sxy - sx * sy) / (n * sxx - sx * sx); print (sy - b * sx) / n, b}' "$rows/estate_costs.csv"
+}
+read -r cpu_base cpu_per <<<"$(cost 2)"
+read -r wire_base wire_per <<<"$(cost 3)"
+read -r mem_base mem_per <<<"$(cost 5)"
+rate() { awk -F, -v p="$1" -v c="$2" 'NR > 1 && $1 == p {n++; s += $c} END {print s / n}' "$rows/baseline.csv"; }
+router_rate=$(rate router 3)
+spread() { awk -F, -v w="$1" -v h="$2" -v l="$3" -v c="$4" '$1 == w && $2 == h && $3 == l {print $c}' "$rows/spread.csv"; }
+
+nodes=4700 domains=17 requests=12000000 changes=11000
+slices_per_upstream=8
+ask=$(base ask); promise=$(base promise)
+asks_per_s=$(calc "1000 / 100" %.0f)
+change_rate=$(calc "$changes / 86400" %.3f)
+services=102 # six services a firm, one firm a domain
+
+# verdict VALUE BUDGET: whether it fits, or by what factor it does not.
+verdict() { awk -v v="$1" -v b="$2" 'BEGIN {if (v <= b) print "fits"; else printf "**%.1f times over**", v / b}'; }
+
+cat <<EOF
+# Capacity
+
+The design at the users' two-year size: $nodes nodes, 3.4 billion keys, 12 M requests/s, $domains failure domains, $changes changes of
+configuration a day. This page is written by \`bench/capacity.sh\` from the rows in \`bench/results/\`, which \`bench/measure.sh\` measures
+anew. Nothing here is a target; a row that does not fit says by what factor, and which mechanism will carry it.
+
+Measured on one machine of six cores over loopback. Bytes are payload with HTTP headers, without TCP and IP. Every slope is a
+least-squares fit over at least four sizes; its largest relative error stands beside it.
+
+## Measured slopes
+
+| slope | unit | base | per item | points | largest error |
+| --- | --- | --- | --- | --- | --- |
+EOF
+awk -F, 'NR > 1 {printf "| %s | %s | %s | %s | %s | %s%% |\n", $1, $2, $3, $4, $5, $6}' <<<"$fits"
+cat <<EOF
+
+\`table-*\` are per slice, \`keeper-*\` and \`renewal*\` per upstream that a keeper renews, \`config-*\` per service, \`load-report*\` per slice in
+the report, \`plan\` per slice of a service. \`table-parse\`, \`table-change\` and \`plan\` are work per change, not per second.
+
+Real keepers in an estate (rings of three, two deputies, \`bench/estate_costs.sh\`):
+
+| upstreams renewed | processor, % of a core | control bytes/s sent and answered | store bytes/s | resident KB |
+| --- | --- | --- | --- | --- |
+EOF
+awk -F, 'NR > 1 {printf "| %s | %s | %s | %s | %s |\n", $1, $2, $3, $4, $5}' "$rows/estate_costs.csv"
+cat <<EOF
+
+Fit: $(calc "$cpu_base" %.2f)% + $(calc "$cpu_per" %.3f)% an upstream; $(calc "$wire_base" %.0f) B/s + $(calc "$wire_per" %.0f) B/s an upstream;
+$(calc "$mem_base / 1024" %.1f) MB + $(calc "$mem_per" %.0f) KB an upstream.
+
+Router (\`bench/baseline.sh\`, one traffic thread, 32 connections, same upstream, alternating rounds): $(calc "$router_rate" %.0f) requests/s,
+p50 $(calc "$(rate router 4)" %.0f) us, p99 $(calc "$(rate router 5)" %.0f) us; bare proxy $(calc "$(rate bare 3)" %.0f) requests/s, p50 $(calc "$(rate bare 4)" %.0f) us, p99 $(calc "$(rate bare 5)" %.0f) us.
+Ratio of rates $(calc "$router_rate / $(rate bare 3)" %.2f) (target at least 0.8), of p99 $(calc "$(rate router 5) / $(rate bare 5)" %.2f) (target at most 1.25).
+
+## Three splits
+
+How the $nodes nodes divide into entry hosts and upstreams is not given. Assumed: one router and one keeper on each entry host,
+$slices_per_upstream slices an upstream, six services and one firm a failure domain, and entry hosts in rings of three.
+
+| per node | mechanism (file) | 10% entry hosts | 30% | 50% | budget |
+| --- | --- | --- | --- | --- | --- |
+EOF
+entry_counts="470 1410 2350"
+# line NAME MECHANISM BUDGET FORMAT FORMULA: one row; in the formula E, U, P stand for entry hosts, upstreams, upstreams per host.
+line() {
+    local name=$1 mechanism=$2 budget=$3 format=$4 formula=$5 entry upstreams value cells=""
+    for entry in $entry_counts; do
+        upstreams=$((nodes - entry))
+        value=$(awk -v E="$entry" -v U="$upstreams" -v P="$(calc "$upstreams / $entry" %.6f)" "BEGIN {print $formula}")
+        cells+=" $(calc "$value" "$format")"
+        [ "$budget" = - ] || cells+=" $(verdict "$value" "$budget")"
+        cells+=" |"
+    done
+    echo "| $name | $mechanism |$cells $budget |"
+}
+line "upstreams renewed per keeper" "rendezvous hashing (cw_membership)" - %.1f "P"
+line "requests/s per router" "" - %.0f "$requests / E"
+line "cores per router, traffic" "cw_proxy_session" - %.2f "$requests / E / $router_rate"
+line "control processor, %" "cw_keeper_core" 2.5 %.2f "$cpu_base + $cpu_per * P"
+line "control memory, MB" "cw_keeper_context" 256 %.1f "$mem_base / 1024 + $mem_per * P / 1024 + 2 * $(base table-memory) / 1e6 + 2 * $(per table-memory) * 8 * U / $services / 1e6"
+line "renewals and promises, B/s" "cw_lease_keeper, cw_membership, rings of three" 4096 %.0f "$wire_base + $wire_per * P"
+line "one ring a domain, promises, B/s" "as today, all-to-all" 4096 %.0f "$asks_per_s * (E / $domains - 1) * ($ask + $promise)"
+line "load reports, B/s" "cw_balancer, to every keeper of the firm" 4096 %.0f "(E / $domains - 1) * 4 * $(calc "$(base load-report) + 48 * $(per load-report)" %.0f) / 5"
+line "configuration, B/s, changed part only" "cw_relay, fanout 6" 4096 %.0f "$change_rate * 7 * ($(base config-bytes) + 6 * $(per config-bytes))"
+line "configuration, B/s, whole as today" "cw_keeper_io::fetch_config" 4096 %.0f "$change_rate * 7 * ($(base config-bytes) + $services * $(per config-bytes))"
+line "table change, bytes to each keeper" "whole table by watch (cw_keeper_io)" - %.0f "$(base table-stored) + $(per table-stored) * 8 * U / $services"
+cat <<EOF
+
+| the store carries | mechanism (file) | 10% entry hosts | 30% | 50% | budget |
+| --- | --- | --- | --- | --- | --- |
+EOF
+line "waiting watches, tables and rings as today" "one a key and keeper (cw_keeper_core::watched_keys)" 2000 %.0f "E * (4 + 2)"
+line "waiting watches on configurations" "two a domain (cw_relay)" 2000 %.0f "2 * $domains"
+line "waiting watches, all by relay" "to be built: tables on cw_relay" 2000 %.0f "2 * $domains * (1 + 4 + 2)"
+line "reads/s in a store-less tenure" "none while peers promise (cw_tenure)" 2000 %.0f "0"
+line "reads/s, one keeper lost in every ring" "ring reads every 90 ms (cw_membership)" 2000 %.0f "E * 2 / 3 * 11"
+line "writes/s, ordinary day" "joins touch four tables, drains, losses" 300 %.2f "(430 + 19) * 2 * 6 / 86400"
+line "writes/s, a domain's keepers start at once" "joins and touches over 10 s, retried on conflict" 300 %.0f "E / $domains * (1 + 4) / 10"
+cat <<EOF
+
+## Keys, slices, hot keys
+
+3.4 billion keys keep no state: a key is a position on a 64-bit ring. A lookup takes $(calc "$(base table-lookup)" %.0f) ns in a small table and
+$(awk -F, '$1 == "table-lookup" && $2 == 80000 {print $4}' "$rows/slopes.csv") ns among 80,000 slices, hashing included. A table of the store's megabyte holds
+$(calc "1000000 / $(per table-stored)" %.0f) slices, or $(calc "1000000 / $(per table-stored) / $slices_per_upstream" %.0f) upstreams a service; beyond that a table needs chunks (not built).
+
+The hottest 340 keys: \`cw_slice_table::moved\` and \`cw_planner\` carry a slice of one value, and a load report names the 48 busiest slices
+($(calc "$(base load-report) + 48 * $(per load-report)" %.0f) B). **Missing:** routers do not yet count single keys (a bounded heavy-hitter sketch, merged per domain), so a hot key moves
+only with its slice. At 340 keys in 3 minutes over $domains domains a domain sees 20 changes in that time, one table write each 9 s.
+
+## Configuration within 13 s
+
+$changes changes a day are $change_rate a second. Spreading one version to all hosts (\`bench/cw_spread_compare\`; the tree is the product's
+\`cw_relay\`, the others are models; 10 ms a hop, 2.5 KB a change; a round is a hop):
+
+| way | hosts | lost | messages | bytes | rounds | most messages by one host | hosts not reached |
+| --- | --- | --- | --- | --- | --- | --- | --- |
+EOF
+awk -F, 'NR > 1 {printf "| %s | %s | %s | %s | %s | %s | %s | %s |\n", $1, $2, $3, $4 + $5, $6, $7, $8, $9}' "$rows/spread.csv"
+cat <<EOF
+
+The star needs one host that sends $(spread star 4700 none 8) messages, or as many watches. Gossip sends $(calc "$(spread gossip 4700 none 4) / $(spread tree 4700 none 4)" %.0f) times the
+tree's messages. The ring with pointers over 2^h names (after Harvey and Munro, "Deterministic SkipNet") has the least messages, but takes
+$(spread ring 4700 none 7) rounds to the tree's $(spread tree 4700 none 7) and in this model knows at once which neighbours are lost; its absolute bounds on pointers buy nothing
+here, since each host knows the list of its domain anyway. So the idea was not taken. With 10% of the hosts lost the tree takes $(spread tree 4700 10% 7) rounds, of which
+most is the patience of 150 ms with silent parents. At 100 ms a hop between regions and three trips a fetch, $(spread tree 4700 none 7) rounds are
+$(calc "$(spread tree 4700 none 7) * 0.3" %.1f) s, and with 10% lost $(calc "$(spread tree 4700 none 7) * 0.3 + 0.15 * 4" %.1f) s, within 13 s.
+
+## A key within 1 s of a loss
+
+| part | ms | source |
+| --- | --- | --- |
+| last grant to detection | 0-50 (refused), 180 (silent); runs beside the lapse | cw_timings |
+| lapse of the lease after the last grant | at most 455 | cw_timings: lease and drift |
+| holds of the ring's members | beside the lapse | cw_condemner |
+| table write, watch, grant, routes | about 10 | time line of the demo |
+| with a keeper of the ring lost as well | 710 more | cw_timings::settle |
+
+The size of the estate enters only through the table's size: parsing and writing a table of 8 x 41 slices takes
+$(calc "$(base table-change) + $(per table-change) * 328" %.0f) us and is far from the budget.
+
+## Bad days
+
+| event | what grows | carried by |
+| --- | --- | --- |
+| a rack: up to a ring's three entry hosts and some upstreams | the ring's leases lapse; \`release\` services move after about 0.9 s, \`hold\` services wait for a new keeper | deputies; a new ring member |
+| a domain | its slices of \`release\` services in one write a service | cw_releaser |
+| regions apart for minutes | nothing, while rings lie within a domain; routers refuse what lies beyond | cw_tenure |
+| the store back after an outage | each watch is asked again after 100 ms: $(calc "470 * 6 / 0.1" %.0f) reads/s at 470 hosts, **over** | to be built: a random pause up to the watch's length, and fewer watches by relay |
+
+## What today's code does not carry, in order
+
+1. **Bytes of renewals** beyond one upstream a keeper: $(calc "$wire_per" %.0f) B/s an upstream. Next: renewal carried on the answers of ordinary traffic, which
+   every owner of a used key sends anyway, and one exchange per 300 ms with a longer lease where a refused connection or a new incarnation
+   proves the end.
+2. **One ring a domain.** Rings of three by rendezvous over the domain's hosts, each with a share of its upstreams.
+3. **Watches and whole tables.** Tables as topics of cw_relay, and changes as moves rather than whole tables.
+4. **Load reports to everyone.** Sums per domain by its first host, then among first hosts.
+5. **Whole configurations between keepers.** Parts are named by digest already; a fetch should name those it holds.
+6. **Hot keys by sketch**, tables in chunks, pauses after an outage.
+EOF
