--- a/Source/cuminwinch_load.cpp
+++ b/Source/cuminwinch_load.cpp
@@ -1,6 +1,5 @@
 /// cuminwinch-load: open-loop load with an audit of outcomes from the upstreams' journals.
 
-#include "cw_address.h"
 #include "cw_load_report.h"
 #include "cw_load_run.h"
 #include "cw_settings.h"
@@ -9,30 +8,11 @@
 #include <exception>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace {
 
-std::vector<std::string> split(const std::string& text) {
-    std::vector<std::string> parts;
-    std::istringstream stream{text};
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
-std::optional<std::string> wrong_target(const cw_settings& settings) {
-    for (const auto& target : split(settings.text("targets"))) {
-        if (!cw_address::parse(target)) {
-            return "--targets holds \"" + target + "\"; give IP:PORT,IP:PORT,...";
-        }
-    }
-    return std::nullopt;
-}
-
 void declare(cw_settings& settings) {
-    settings.add_text("targets", "IP:PORT,... of routers");
+    settings.add_addresses("targets", "IP:PORT,... of routers");
     settings.add_text("prefix", "Path prefix of the service", "/gallery/");
     settings.add_number("rate", "Requests per second", 1, 100'000, 100);
     settings.add_number("seconds", "Length of the run", 1, 3'600, 5);
@@ -46,13 +26,12 @@
     settings.add_number("seed", "Seed of the keys drawn", 0, 1'000'000'000, 1);
     settings.add_address("platform", "IP:PORT of the platform, to audit journals; empty for none",
                          "");
-    settings.add_rule(wrong_target);
 }
 
 cw_load_options options_from(const cw_settings& settings) {
     constexpr double hundred = 100.0;
     cw_load_options options;
-    options.targets = split(settings.text("targets"));
+    options.targets = settings.addresses("targets");
     options.prefix = settings.text("prefix");
     options.rate = static_cast<std::uint32_t>(settings.number("rate"));
     options.length = std::chrono::seconds{settings.number("seconds")};
--- a/Source/cuminwinch_router.cpp
+++ b/Source/cuminwinch_router.cpp
@@ -6,34 +6,15 @@
 
 #include <exception>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
-std::vector<std::string> split(const std::string& text) {
-    std::vector<std::string> parts;
-    std::istringstream stream{text};
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
-std::optional<std::string> unreadable_keeper(const cw_settings& settings) {
-    for (const auto& address : split(settings.text("keepers"))) {
-        if (!cw_address::parse(address)) {
-            return "--keepers holds \"" + address + "\"; give IP:PORT,IP:PORT,...";
-        }
-    }
-    return std::nullopt;
-}
-
 void declare(cw_settings& settings) {
     settings.add_text("host", "Id of this entry host in the platform's host list");
     settings.add_text("domain", "Failure domain of this host");
     settings.add_address("listen", "IP:PORT where callers connect");
     settings.add_address("admin", "IP:PORT for health, readiness and metrics");
-    settings.add_text("keepers", "IP:PORT,... of keepers, this host's own first");
+    settings.add_addresses("keepers", "IP:PORT,... of keepers, this host's own first");
     settings.add_address("keeper-rpc", "IP:PORT of the own keeper's JSON-RPC interface");
     settings.add_number("threads", "Traffic threads", 1, 64, 2);
     settings.add_number("notice-ms", "Time for the balancer to notice a stop", 0, 60'000, 1'000);
@@ -41,7 +22,6 @@
                         60'000);
     settings.add_choice("log-level", "Least level that is logged",
                         {"debug", "info", "warning", "error"}, "info");
-    settings.add_rule(unreadable_keeper);
 }
 
 cw_router_options options_from(const cw_settings& settings) {
@@ -50,7 +30,7 @@
     options.domain = settings.text("domain");
     options.listen = *cw_address::parse(settings.text("listen"));
     options.admin = *cw_address::parse(settings.text("admin"));
-    options.keepers = split(settings.text("keepers"));
+    options.keepers = settings.addresses("keepers");
     options.keeper_rpc = settings.text("keeper-rpc");
     options.threads = static_cast<std::uint32_t>(settings.number("threads"));
     options.notice = settings.milliseconds("notice-ms");
--- /dev/null
+++ b/Source/cw_blocking_http.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cw_error.h"
+#include "cw_time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <string>
+
+/// Runs one coroutine to its end and returns its result. For programs that do one thing at a time.
+template <typename T>
+[[nodiscard]] T cw_run_to_end(boost::asio::io_context& context, boost::asio::awaitable<T> work) {
+    context.restart();
+    auto result = boost::asio::co_spawn(context, std::move(work), boost::asio::use_future);
+    context.run();
+    return result.get();
+}
+
+/// The body of a page of the process at `address` ("IP:port"); any status but 200 is an error.
+[[nodiscard]] cw_result<std::string> cw_get_page(boost::asio::io_context& context,
+                                                 const std::string& address,
+                                                 const std::string& target, cw_time_point deadline);
--- a/Source/cw_client.cpp
+++ b/Source/cw_client.cpp
@@ -1,5 +1,6 @@
 #include "cw_client.h"
 
+#include "cw_blocking_http.h"
 #include "cw_config_parser.h"
 #include "cw_host_list.h"
 #include "cw_http_client.h"
@@ -8,9 +9,6 @@
 #include "cw_store_key.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_future.hpp>
-#include <boost/beast/http/field.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
@@ -19,9 +17,6 @@
 #include <sstream>
 #include <thread>
 
-namespace net = boost::asio;
-namespace http = boost::beast::http;
-
 namespace {
 
 using namespace std::chrono_literals;
@@ -36,15 +31,6 @@
     return std::chrono::steady_clock::now() + call_timeout;
 }
 
-/// Runs one coroutine to its end and returns its result.
-template <typename T>
-T run(net::io_context& context, net::awaitable<T> work) {
-    context.restart();
-    auto result = net::co_spawn(context, std::move(work), net::use_future);
-    context.run();
-    return result.get();
-}
-
 std::string time_text(std::chrono::system_clock::time_point at) {
     const auto seconds = std::chrono::system_clock::to_time_t(at);
     const auto micros =
@@ -131,26 +117,15 @@
 }
 
 cw_result<std::string> cw_client::get(const std::string& address, const std::string& target) {
-    cw_http_client client{context_};
-    cw_http_request request{http::verb::get, target, 11};
-    request.set(http::field::host, address);
-    const auto response =
-        run(context_, client.request(address, std::move(request),
-                                     std::chrono::steady_clock::now() + status_timeout));
-    if (!response) {
-        return tl::unexpected(response.error());
-    }
-    if (response->result() != http::status::ok) {
-        return tl::unexpected(
-            cw_error{"get " + target, address, "status " + std::to_string(response->result_int())});
-    }
-    return response->body();
+    return cw_get_page(context_, address, target,
+                       std::chrono::steady_clock::now() + status_timeout);
 }
 
 cw_result<cw_client::stored_head> cw_client::read_head() {
     cw_http_client client{context_};
     cw_store_client store{client, options_.platform};
-    const auto value = run(context_, store.read(std::string{cw_config_head_key}, deadline()));
+    const auto value =
+        cw_run_to_end(context_, store.read(std::string{cw_config_head_key}, deadline()));
     if (!value) {
         return tl::unexpected(value.error());
     }
@@ -169,7 +144,7 @@
     cw_store_client store{client, options_.platform};
     std::vector<cw_config_file> files;
     for (const auto& [name, digest] : head.parts) {
-        auto value = run(context_, store.read(cw_config_part_key(digest), deadline()));
+        auto value = cw_run_to_end(context_, store.read(cw_config_part_key(digest), deadline()));
         if (!value) {
             return tl::unexpected(value.error());
         }
@@ -221,7 +196,8 @@
     for (const auto& file : files) {
         const auto key = cw_config_part_key(cw_config_digest(file.text));
         for (int tries = 0;; ++tries) {
-            const auto outcome = run(context_, store.write(key, file.text, 0, deadline()));
+            const auto outcome =
+                cw_run_to_end(context_, store.write(key, file.text, 0, deadline()));
             // A part is named by its content, so one that exists already is the same part.
             if (outcome != cw_write_outcome::unknown) {
                 break;
@@ -285,8 +261,8 @@
     bool accepted = false;
     for (int tries = 0; tries < write_tries && !accepted; ++tries) {
         const auto outcome =
-            run(context_, store.write(std::string{cw_config_head_key}, next.to_json(),
-                                      base.store_version, deadline()));
+            cw_run_to_end(context_, store.write(std::string{cw_config_head_key}, next.to_json(),
+                                                base.store_version, deadline()));
         accepted = outcome == cw_write_outcome::done;
         if (outcome != cw_write_outcome::conflict) {
             continue;
@@ -445,7 +421,7 @@
 cw_result<cw_slice_table> cw_client::table(const std::string& service) {
     cw_http_client client{context_};
     cw_store_client store{client, options_.platform};
-    const auto value = run(context_, store.read(cw_table_key(service), deadline()));
+    const auto value = cw_run_to_end(context_, store.read(cw_table_key(service), deadline()));
     if (!value) {
         return tl::unexpected(value.error());
     }
--- a/Source/cw_settings.cpp
+++ b/Source/cw_settings.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <sstream>
 
 namespace {
 
@@ -28,6 +29,15 @@
     return text;
 }
 
+std::vector<std::string> split(const std::string& text) {
+    std::vector<std::string> parts;
+    std::istringstream stream{text};
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
 std::optional<std::int64_t> parse_number(const std::string& text) {
     std::int64_t value = 0;
     const auto* end = text.data() + text.size();
@@ -46,7 +56,7 @@
 } // namespace
 
 struct cw_settings::definition {
-    enum class kind { text, address, number, choice, flag };
+    enum class kind { text, address, addresses, number, choice, flag };
 
     std::string name;
     kind type = kind::text;
@@ -82,6 +92,14 @@
                .allowed = {}});
 }
 
+void cw_settings::add_addresses(const std::string& name, const std::string& help) {
+    add(name, {.name = name,
+               .type = definition::kind::addresses,
+               .help = help,
+               .fallback = std::nullopt,
+               .allowed = {}});
+}
+
 void cw_settings::add_number(const std::string& name, const std::string& help, std::int64_t least,
                              std::int64_t most, std::int64_t fallback) {
     add(name, {.name = name,
@@ -132,6 +150,16 @@
                            "is \"" + value + "\"; give IP:PORT, such as 127.0.0.1:8080");
         }
         break;
+    case definition::kind::addresses: {
+        const auto parts = split(value);
+        const bool readable = std::all_of(parts.begin(), parts.end(), [](const auto& part) {
+            return cw_address::parse(part).has_value();
+        });
+        if (parts.empty() || !readable) {
+            return mistake(setting.name, "is \"" + value + "\"; give IP:PORT,IP:PORT,...");
+        }
+        break;
+    }
     case definition::kind::number: {
         const auto number = parse_number(value);
         if (!number || *number < setting.least || *number > setting.most) {
@@ -248,6 +276,10 @@
     return values_.at(name);
 }
 
+std::vector<std::string> cw_settings::addresses(const std::string& name) const {
+    return split(values_.at(name));
+}
+
 std::int64_t cw_settings::number(const std::string& name) const {
     return parse_number(values_.at(name)).value_or(0);
 }
--- a/Source/cw_settings.h
+++ b/Source/cw_settings.h
@@ -27,6 +27,8 @@
     /// An "IP:port" setting.
     void add_address(const std::string& name, const std::string& help,
                      std::optional<std::string> fallback = std::nullopt);
+    /// One or more "IP:port" joined by commas.
+    void add_addresses(const std::string& name, const std::string& help);
     /// A whole number within a range.
     void add_number(const std::string& name, const std::string& help, std::int64_t least,
                     std::int64_t most, std::int64_t fallback);
@@ -44,6 +46,7 @@
     [[nodiscard]] std::optional<int> parse(int argc, const char* const* argv);
 
     [[nodiscard]] const std::string& text(const std::string& name) const;
+    [[nodiscard]] std::vector<std::string> addresses(const std::string& name) const;
     [[nodiscard]] std::int64_t number(const std::string& name) const;
     [[nodiscard]] std::chrono::milliseconds milliseconds(const std::string& name) const;
     [[nodiscard]] bool flag(const std::string& name) const;
--- a/Tests/Settings/cw_settings_test.cpp
+++ b/Tests/Settings/cw_settings_test.cpp
@@ -13,6 +13,7 @@
         settings.add_number("threads", "A number", 1, 8, 2);
         settings.add_choice("level", "A word", {"low", "high"}, "low");
         settings.add_flag("json", "A flag");
+        settings.add_text("comment", "Another text", "");
     }
     ~declared_settings() {
         unsetenv("CUMINWINCH_HOST");
@@ -52,6 +53,14 @@
     CHECK(parse({"--host", "h", "word"}) == cw_exit_usage);
 }
 
+TEST_CASE_FIXTURE(declared_settings, "address_list_is_read_or_refused_as_a_whole") {
+    settings.add_addresses("targets", "Several addresses");
+    CHECK_FALSE(parse({"--host", "h", "--targets", "127.0.0.1:1,127.0.0.2:2"}));
+    CHECK(settings.addresses("targets") == std::vector<std::string>{"127.0.0.1:1", "127.0.0.2:2"});
+    CHECK(parse({"--host", "h", "--targets", "127.0.0.1:1,nowhere"}) == cw_exit_usage);
+    CHECK(parse({"--host", "h", "--targets", ","}) == cw_exit_usage);
+}
+
 TEST_CASE_FIXTURE(declared_settings, "variable_malformed_ends_with_usage_code") {
     setenv("CUMINWINCH_THREADS", "many", 1);
     CHECK(parse({"--host", "h"}) == cw_exit_usage);
