--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -50,7 +50,7 @@
 cat <<EOF
 
 \`table-*\` are per slice, \`keeper-*\` and \`renewal*\` per upstream that a keeper renews, \`config-*\` per service, \`load-report*\` per slice in
-the report, \`plan\` per slice of a service. \`table-parse\`, \`table-change\` and \`plan\` are work per change, not per second.
+the report, \`plan\` per slice of a service (it really grows with slices times upstreams, hence its error). \`table-parse\`, \`table-change\` and \`plan\` are work per change, not per second.
 
 Real keepers in an estate (rings of three, two deputies, \`bench/estate_costs.sh\`):
 
@@ -70,7 +70,8 @@
 ## Three splits
 
 How the $nodes nodes divide into entry hosts and upstreams is not given. Assumed: one router and one keeper on each entry host,
-$slices_per_upstream slices an upstream, six services and one firm a failure domain, and entry hosts in rings of three.
+$slices_per_upstream slices an upstream, six services for the hosts of one failure domain, each host serving one firm, and entry hosts in
+rings of three.
 
 | per node | mechanism (file) | 10% entry hosts | 30% | 50% | budget |
 | --- | --- | --- | --- | --- | --- |
