Collect holds and relay bodies in one place each

Cause: the condemner and the mover each kept the list of members that had confirmed a hold, and the session had the same loop for bodies both ways. Change: cw_hold_round and cw_body_relay. A move whose hold is answered by nobody now also hastens the removal of the silent member.

--- a/Source/cw_condemner.cpp
+++ b/Source/cw_condemner.cpp
@@ -24,7 +24,7 @@
     for (auto place = rounds_.begin(); place != rounds_.end();) {
         auto& [upstream, current] = *place;
         const auto* stored = context_.table(current.service);
-        const bool over = stored->table.epoch() > current.base_epoch;
+        const bool over = stored->table.epoch() > current.holds.base_epoch();
         const bool answered =
             !leases_.is_suspect(upstream, now) && leases_.is_healthy(upstream, now);
         if (!over && answered && !current.write) {
@@ -50,26 +50,22 @@
     if (config == nullptr || !membership_.may_grant(config->cut_off, now)) {
         return;
     }
+    const auto base_epoch = stored->table.epoch();
+    const auto nonce = context_.next_number();
     round current;
     current.service = lease->service;
-    current.nonce = context_.next_number();
-    current.base_epoch = stored->table.epoch();
     current.started = now;
-    current.lapse_at = lease->possible_until;
-    leases_.holds().add(context_.self(), upstream, current.nonce, current.base_epoch, now);
+    current.holds = {nonce, upstream, lease->service, base_epoch, lease->possible_until};
+    leases_.holds().add(context_.self(), upstream, nonce, base_epoch, now);
     membership_.read_ring(now);
-    context_.note("upstream-suspected", upstream, "epoch " + std::to_string(current.base_epoch));
+    context_.note("upstream-suspected", upstream, "epoch " + std::to_string(base_epoch));
     rounds_.emplace(upstream, std::move(current));
 }
 
 void cw_condemner::on_hold_ack(const cw_ring_member& from, const cw_hold_ack_message& ack,
                                cw_time_point now) {
     for (auto& [upstream, current] : rounds_) {
-        if (current.nonce == ack.nonce) {
-            current.acked.insert(from);
-            const auto until = now + ack.remaining + context_.timings().drift;
-            current.lapse_at = std::max(current.lapse_at, until);
-        }
+        current.holds.on_acknowledgement(context_, from, ack, now);
     }
 }
 
@@ -87,39 +83,12 @@
 }
 
 void cw_condemner::cancel(const std::string& upstream, const round& current) {
-    leases_.holds().remove(context_.self(), upstream, current.nonce);
-    for (const auto& member : membership_.ring()->members) {
-        if (member != context_.self()) {
-            context_.send(member.host, cw_unhold_message{current.nonce, upstream});
-        }
-    }
+    leases_.holds().remove(context_.self(), upstream, current.holds.nonce());
+    current.holds.take_back(context_, membership_);
     leases_.hurry(upstream);
     context_.note("upstream-answers-again", upstream);
 }
 
-bool cw_condemner::is_released_by_all(const std::string& upstream, round& current,
-                                      cw_time_point now) {
-    bool complete = true;
-    const bool remind = now >= current.next_hold;
-    if (remind) {
-        current.next_hold = now + context_.timings().probe;
-    }
-    for (const auto& member : membership_.ring()->members) {
-        if (member == context_.self() || current.acked.contains(member)) {
-            continue;
-        }
-        complete = false;
-        if (remind) {
-            context_.send(member.host, cw_hold_message{current.nonce, upstream, current.service,
-                                                       current.base_epoch});
-        }
-        if (!membership_.is_alive(member.host, now)) {
-            membership_.hasten_removal();
-        }
-    }
-    return complete;
-}
-
 void cw_condemner::advance(const std::string& upstream, round& current, cw_time_point now) {
     if (current.write) {
         if (now >= current.resend_at) {
@@ -131,14 +100,14 @@
     if (!membership_.is_member()) {
         return;
     }
-    if (!is_released_by_all(upstream, current, now)) {
+    if (!current.holds.collect(context_, membership_, now)) {
         return;
     }
     if (membership_.ring_read_sent() < current.started) {
         membership_.read_ring(now);
         return;
     }
-    if (now > current.lapse_at && now > membership_.settled_at()) {
+    if (now > current.holds.lapse_at() && now > membership_.settled_at()) {
         write_table(upstream, current, now);
     }
 }
@@ -151,7 +120,7 @@
     if (moves.empty()) {
         return;
     }
-    auto next = stored->table.moved(moves, current.base_epoch + 1);
+    auto next = stored->table.moved(moves, current.holds.base_epoch() + 1);
     const auto writer = context_.next_writer();
     next.set_writer(writer);
     current.write = cw_write_command{cw_table_key(current.service), next.to_json(),
--- a/Source/cw_condemner.h
+++ b/Source/cw_condemner.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "cw_hold_round.h"
 #include "cw_keeper_command.h"
 #include "cw_keeper_event.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -37,20 +37,14 @@
 private:
     struct round {
         std::string service;
-        std::uint64_t nonce = 0;
-        std::uint64_t base_epoch = 0;
+        cw_hold_round holds;
         cw_time_point started;
-        cw_time_point lapse_at;
-        cw_time_point next_hold{};
-        std::set<cw_ring_member> acked;
         std::optional<cw_write_command> write;
         cw_time_point resend_at{};
     };
 
     void consider(const std::string& upstream, cw_time_point now);
     void advance(const std::string& upstream, round& current, cw_time_point now);
-    [[nodiscard]] bool is_released_by_all(const std::string& upstream, round& current,
-                                          cw_time_point now);
     void write_table(const std::string& upstream, round& current, cw_time_point now);
     void cancel(const std::string& upstream, const round& current);
 
--- /dev/null
+++ b/Source/cw_hold_round.cpp
@@ -0,0 +1,56 @@
+#include "cw_hold_round.h"
+
+#include "cw_keeper_context.h"
+#include "cw_membership.h"
+
+#include <algorithm>
+
+cw_hold_round::cw_hold_round(std::uint64_t nonce, std::string upstream, std::string service,
+                             std::uint64_t base_epoch, cw_time_point lapse_at)
+    : nonce_{nonce},
+      upstream_{std::move(upstream)},
+      service_{std::move(service)},
+      base_epoch_{base_epoch},
+      lapse_at_{lapse_at} {}
+
+bool cw_hold_round::collect(cw_keeper_context& context, cw_membership& membership,
+                            cw_time_point now) {
+    const bool remind = now >= next_reminder_;
+    if (remind) {
+        next_reminder_ = now + context.timings().probe;
+    }
+    bool complete = true;
+    for (const auto& member : membership.ring()->members) {
+        if (member == context.self() || confirmed_.contains(member)) {
+            continue;
+        }
+        complete = false;
+        if (remind) {
+            context.send(member.host, cw_hold_message{nonce_, upstream_, service_, base_epoch_});
+        }
+        if (!membership.is_alive(member.host, now)) {
+            membership.hasten_removal();
+        }
+    }
+    return complete;
+}
+
+void cw_hold_round::on_acknowledgement(const cw_keeper_context& context, const cw_ring_member& from,
+                                       const cw_hold_ack_message& ack, cw_time_point now) {
+    if (ack.nonce != nonce_ || nonce_ == 0) {
+        return;
+    }
+    confirmed_.insert(from);
+    lapse_at_ = std::max(lapse_at_, now + ack.remaining + context.timings().drift);
+}
+
+void cw_hold_round::take_back(cw_keeper_context& context, const cw_membership& membership) const {
+    if (nonce_ == 0) {
+        return;
+    }
+    for (const auto& member : membership.ring()->members) {
+        if (member != context.self()) {
+            context.send(member.host, cw_unhold_message{nonce_, upstream_});
+        }
+    }
+}
--- a/Source/cw_mover.cpp
+++ b/Source/cw_mover.cpp
@@ -38,12 +38,11 @@
     current.base_epoch = stored->table.epoch();
     current.store_version = stored->store_version;
     current.write.reset();
-    current.acked.clear();
-    current.free_at = now;
+    current.holds = {};
     if (config != nullptr && !config->checks_fences) {
         current.at = stage::holding;
-        current.nonce = context_.next_number();
-        current.next_hold = now;
+        current.holds = {context_.next_number(), upstream, current.service, current.base_epoch,
+                         now};
         collect_holds(upstream, current, now);
         return;
     }
@@ -51,23 +50,9 @@
 }
 
 void cw_mover::collect_holds(const std::string& upstream, handover& current, cw_time_point now) {
-    const bool remind = now >= current.next_hold;
-    bool complete = true;
-    for (const auto& member : membership_.ring()->members) {
-        if (member == context_.self() || current.acked.contains(member)) {
-            continue;
-        }
-        complete = false;
-        if (remind) {
-            context_.send(member.host, cw_hold_message{current.nonce, upstream, current.service,
-                                                       current.base_epoch});
-        }
-    }
-    if (remind) {
-        current.next_hold = now + context_.timings().probe;
-    }
+    const bool complete = current.holds.collect(context_, membership_, now);
     const auto* lease = leases_.lease(upstream);
-    if (complete && now > current.free_at && now > membership_.settled_at() &&
+    if (complete && now > current.holds.lapse_at() && now > membership_.settled_at() &&
         now > lease->unanswered_until && lease->exchange == 0) {
         revoke(upstream, current);
     }
@@ -85,9 +70,8 @@
 void cw_mover::on_hold_ack(const cw_ring_member& from, const cw_hold_ack_message& ack,
                            cw_time_point now) {
     for (auto& [upstream, current] : handovers_) {
-        if (current.at == stage::holding && current.nonce == ack.nonce) {
-            current.acked.insert(from);
-            current.free_at = std::max(current.free_at, now + ack.remaining);
+        current.holds.on_acknowledgement(context_, from, ack, now);
+        if (current.at == stage::holding) {
             collect_holds(upstream, current, now);
         }
     }
@@ -126,13 +110,7 @@
     if (auto* lease = leases_.lease(upstream); lease != nullptr) {
         lease->override_grant.reset();
     }
-    if (current.nonce != 0) {
-        for (const auto& member : membership_.ring()->members) {
-            if (member != context_.self()) {
-                context_.send(member.host, cw_unhold_message{current.nonce, upstream});
-            }
-        }
-    }
+    current.holds.take_back(context_, membership_);
     leases_.hurry(upstream);
 }
 
--- a/Source/cw_mover.h
+++ b/Source/cw_mover.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cw_hold_round.h"
 #include "cw_keeper_command.h"
 #include "cw_keeper_event.h"
 #include "cw_slice_move.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -43,12 +43,9 @@
         std::string service;
         std::vector<cw_slice_move> moves;
         stage at = stage::revoking;
-        std::uint64_t nonce = 0;
+        cw_hold_round holds;
         std::uint64_t base_epoch = 0;
         std::uint64_t store_version = 0;
-        std::set<cw_ring_member> acked;
-        cw_time_point free_at{};
-        cw_time_point next_hold{};
         cw_time_point give_up_at;
         std::optional<cw_write_command> write;
         cw_time_point resend_at{};
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -2,6 +2,7 @@
 
 #include "cw_address.h"
 #include "cw_async.h"
+#include "cw_body_relay.h"
 #include "cw_header_names.h"
 #include "cw_router_shared.h"
 
@@ -34,7 +35,6 @@
 constexpr auto longest_deadline = 24h;
 /// Bodies up to this size are held whole.
 constexpr std::uint64_t largest_held_body = 262'144;
-constexpr std::size_t stream_chunk = 65'536;
 /// A lost upstream's keys are served again after about this long.
 constexpr std::int64_t return_after_loss_ms = 600;
 constexpr std::int64_t return_when_busy_ms = 100;
@@ -406,40 +406,22 @@
     message.body().data = nullptr;
     message.body().more = true;
     http::request_serializer<http::buffer_body> serializer{message};
-    std::array<char, stream_chunk> chunk{};
     boost::system::error_code failure;
     co_await http::async_write_header(upstream, serializer, cw_into(failure));
-    while (!failure && !serializer.is_done()) {
-        if (!parser.is_done()) {
-            parser.get().body().data = chunk.data();
-            parser.get().body().size = chunk.size();
-            caller_deadline_.extend(now() + idle_timeout);
-            co_await http::async_read(caller_, buffer_, parser, cw_into(failure));
-            if (failure == http::error::need_buffer) {
-                failure = {};
-            }
-            if (failure) {
-                current.reason = "receive from the caller: " + failure.message();
-                co_return false;
-            }
-            message.body().data = chunk.data();
-            message.body().size = chunk.size() - parser.get().body().size;
-            message.body().more = !parser.is_done();
-        } else {
-            message.body().data = nullptr;
-            message.body().size = 0;
-            message.body().more = false;
-        }
-        co_await http::async_write(upstream, serializer, cw_into(failure));
-        if (failure == http::error::need_buffer) {
-            failure = {};
-        }
-    }
-    caller_deadline_.extend(cw_time_point::max());
     if (failure) {
         current.reason = "send to the upstream: " + failure.message();
+        co_return false;
     }
-    co_return !failure;
+    const auto extend_caller = [this] { caller_deadline_.extend(now() + idle_timeout); };
+    const auto result = co_await cw_relay_body(caller_, buffer_, parser, upstream, message,
+                                               serializer, extend_caller, [] {});
+    caller_deadline_.extend(cw_time_point::max());
+    if (result.source) {
+        current.reason = "receive from the caller: " + result.source.message();
+    } else if (result.sink) {
+        current.reason = "send to the upstream: " + result.sink.message();
+    }
+    co_return result.is_whole();
 }
 
 net::awaitable<cw_attempt_result> cw_proxy_session::receive(exchange& current,
@@ -495,36 +477,17 @@
     http::response_serializer<http::buffer_body> serializer{message};
     current.streamed_answer = true;
     const bool until_close = !length && !parser.chunked();
-    std::array<char, stream_chunk> chunk{};
     boost::system::error_code failure;
+    const auto extend_caller = [this] { caller_deadline_.extend(now() + idle_timeout); };
+    extend_caller();
     co_await http::async_write_header(caller_, serializer, cw_into(failure));
-    while (!failure && !serializer.is_done()) {
-        if (!parser.is_done()) {
-            parser.get().body().data = chunk.data();
-            parser.get().body().size = chunk.size();
-            co_await http::async_read(upstream, buffer, parser, cw_into(failure));
-            if (failure == http::error::need_buffer) {
-                failure = {};
-            }
-            if (failure) {
-                break;
-            }
-            message.body().data = chunk.data();
-            message.body().size = chunk.size() - parser.get().body().size;
-            message.body().more = !parser.is_done();
-        } else {
-            message.body().data = nullptr;
-            message.body().size = 0;
-            message.body().more = false;
-        }
-        caller_deadline_.extend(now() + idle_timeout);
-        co_await http::async_write(caller_, serializer, cw_into(failure));
-        if (failure == http::error::need_buffer) {
-            failure = {};
-        }
+    cw_body_relay_result relayed;
+    if (!failure) {
+        relayed = co_await cw_relay_body(
+            upstream, buffer, parser, caller_, message, serializer, [] {}, extend_caller);
     }
     current.answer.keep_alive(!until_close && parser.get().keep_alive());
-    if (failure || !parser.is_done()) {
+    if (failure || !relayed.is_whole() || !parser.is_done()) {
         caller_.close(failure);
         co_return cw_attempt_result::connection_lost;
     }
