End what the client's session test starts

Cause: the session ran in a subshell, which neither inherits the trap that ends processes nor tells their ids; its platform stayed, and the next run met the versions of the one before. Change: the session writes to a file from the same shell.

--- a/Tests/Client/session.sh
+++ b/Tests/Client/session.sh
@@ -52,10 +52,15 @@
     step explain gallery
 }
 
-out=$(session)
-rm -rf "$folder" "$ESTATE_LOGS"
+# Not in a subshell: that would neither inherit the trap nor tell the ids of what it starts.
+out=$(mktemp)
+session >"$out"
+estate_end
 golden=$here/session.golden
 if [ "${CUMINWINCH_UPDATE_GOLDEN:-0}" = 1 ]; then
-    printf '%s\n' "$out" >"$golden"
+    cp "$out" "$golden"
 fi
-diff -u "$golden" <(printf '%s\n' "$out")
+diff -u "$golden" "$out"
+code=$?
+rm -rf "$folder" "$ESTATE_LOGS" "$out"
+exit $code
