Let any living deputy release a silent domain, and replace a dead one

Only the leader of the deputies' domain released, and only if it was a deputy itself. When a domain hears the leader last, it names the two others and keeps to them; then nobody released. The new case with that order also showed that a killed deputy stayed one for 11 s: it was dropped after 1.5 s of silence and named again at once, as a newcomer is allowed longer silence. Change: the first living deputy of the record acts, by incarnation. A deputy that was dismissed is named again only after it has been heard anew, and one that was named just now has the usual patience to answer.

--- a/Source/cw_membership.cpp
+++ b/Source/cw_membership.cpp
@@ -55,6 +55,14 @@
     return heard != heard_.end() && now < heard->second + context_.timings().suspicion;
 }
 
+bool cw_membership::is_alive(const cw_ring_member& member, cw_time_point now) const {
+    if (member == context_.self()) {
+        return !retired_;
+    }
+    const auto known = incarnations_.find(member.host);
+    return known != incarnations_.end() && known->second == member && is_alive(member.host, now);
+}
+
 std::optional<cw_time_point> cw_membership::last_heard(const std::string& host) const {
     const auto heard = heard_.find(host);
     return heard == heard_.end() ? std::nullopt : std::optional{heard->second};
@@ -158,6 +166,7 @@
             }
         }
     }
+    note_deputies(event.ring, now);
     ring_ = event.ring;
     ring_version_ = event.store_version;
     ring_known_ = true;
@@ -181,6 +190,21 @@
     }
 }
 
+void cw_membership::note_deputies(const cw_ring& next, cw_time_point now) {
+    if (ring_ && next.deputies_since == ring_->deputies_since) {
+        return;
+    }
+    deputies_named_ = now;
+    if (!ring_) {
+        return;
+    }
+    for (const auto& member : ring_->deputies) {
+        if (!next.is_deputy(member)) {
+            dismissed_[member.host] = now;
+        }
+    }
+}
+
 void cw_membership::on_write(const cw_write_event& event) {
     if (!pending_ || event.writer != pending_->command.writer) {
         return;
@@ -358,28 +382,24 @@
     if (deputy == nullptr) {
         return {};
     }
-    // A silent deputy would leave the domain to the store alone; present ones stay while they are
-    // heard.
-    const auto is_fit = [&](const cw_ring_member& member, std::chrono::milliseconds patience) {
+    const auto is_present = [&](const cw_ring_member& member) {
         const auto known = incarnations_.find(member.host);
-        const bool present = known == incarnations_.end() || known->second == member;
-        const auto heard = last_heard(member.host);
-        return present && context_.host(member.host) != nullptr &&
-               now < heard.value_or(started_) + patience;
+        return (known == incarnations_.end() || known->second == member) &&
+               context_.host(member.host) != nullptr;
     };
+    // A silent deputy would leave the domain to the store alone. One that was named just now has
+    // yet to answer its first ask.
     std::vector<cw_ring_member> wanted;
     for (const auto& member : ring_->deputies) {
-        if (is_fit(member, context_.timings().removal)) {
+        const auto since = std::max(last_heard(member.host).value_or(started_), deputies_named_);
+        if (is_present(member) && now < since + context_.timings().removal) {
             wanted.push_back(member);
         }
     }
     for (const auto& host : context_.entry_hosts(deputy->name)) {
         const auto known = incarnations_.find(host);
-        if (known == incarnations_.end() || wanted.size() >= most_deputies) {
-            continue;
-        }
-        const bool present = std::find(wanted.begin(), wanted.end(), known->second) != wanted.end();
-        if (!present && is_fit(known->second, newcomer_silence)) {
+        if (wanted.size() < most_deputies && known != incarnations_.end() &&
+            !ring_->is_deputy(known->second) && is_newcomer(host, now)) {
             wanted.push_back(known->second);
         }
     }
@@ -387,6 +407,14 @@
     return wanted;
 }
 
+bool cw_membership::is_newcomer(const std::string& host, cw_time_point now) const {
+    const auto heard = last_heard(host);
+    const auto dismissed = dismissed_.find(host);
+    // A deputy that was dismissed for its silence counts again once it has been heard anew.
+    return heard && now < *heard + newcomer_silence &&
+           (dismissed == dismissed_.end() || *heard > dismissed->second);
+}
+
 void cw_membership::update_deputies(cw_time_point now) {
     if (pending_ || !is_leader(now)) {
         return;
--- a/Source/cw_membership.h
+++ b/Source/cw_membership.h
@@ -43,6 +43,8 @@
     [[nodiscard]] cw_time_point settled_at() const { return settled_at_; }
     /// True when a peer was heard within the suspicion time and has not left.
     [[nodiscard]] bool is_alive(const std::string& host, cw_time_point now) const;
+    /// The same for one incarnation of a host.
+    [[nodiscard]] bool is_alive(const cw_ring_member& member, cw_time_point now) const;
     /// Members that are alive, this keeper included.
     [[nodiscard]] std::vector<std::string> alive_members(cw_time_point now) const;
     /// True when this keeper is the one to renew an upstream's leases.
@@ -72,6 +74,9 @@
     void join(cw_time_point now);
     void remove_silent(cw_time_point now);
     void update_deputies(cw_time_point now);
+    void note_deputies(const cw_ring& next, cw_time_point now);
+    /// True when a host that is no deputy was heard lately enough to become one.
+    [[nodiscard]] bool is_newcomer(const std::string& host, cw_time_point now) const;
     void write_ring(cw_ring next, cw_time_point now);
     void resend_write(cw_time_point now);
     [[nodiscard]] std::vector<cw_ring_member> ring_peers() const;
@@ -102,6 +107,9 @@
     std::set<cw_ring_member> left_;
     std::map<std::string, std::uint64_t> withheld_;
     std::map<std::string, std::uint64_t> known_epochs_;
+    cw_time_point deputies_named_{};
+    /// Moment at which each former deputy was seen to be one no more.
+    std::map<std::string, cw_time_point> dismissed_;
     std::optional<pending_write> pending_;
     cw_time_point next_ask_{};
     cw_time_point next_read_{};
--- a/Source/cw_releaser.cpp
+++ b/Source/cw_releaser.cpp
@@ -79,8 +79,11 @@
 
 bool cw_releaser::may_release(const ward& state, cw_time_point now) const {
     const auto& ring = *state.ring;
-    const auto& self = context_.self();
-    if (std::find(ring.deputies.begin(), ring.deputies.end(), self) == ring.deputies.end()) {
+    // The first living deputy acts. Its domain's leader may be none of them.
+    const auto first =
+        std::find_if(ring.deputies.begin(), ring.deputies.end(),
+                     [&](const auto& deputy) { return membership_.is_alive(deputy, now); });
+    if (first == ring.deputies.end() || *first != context_.self()) {
         return false;
     }
     return std::all_of(ring.members.begin(), ring.members.end(), [&](const auto& member) {
@@ -114,8 +117,8 @@
     resend(state, now);
     take_over(domain, state, now);
     const auto services = services_in(domain);
-    if (!state.ring_write && !services.empty() && membership_.is_leader(now) &&
-        is_silent(state, now) && may_release(state, now)) {
+    if (!state.ring_write && !services.empty() && is_silent(state, now) &&
+        may_release(state, now)) {
         release(domain, state, services, now);
     }
 }
--- a/Source/cw_ring.cpp
+++ b/Source/cw_ring.cpp
@@ -27,6 +27,10 @@
     return std::find(members.begin(), members.end(), member) != members.end();
 }
 
+bool cw_ring::is_deputy(const cw_ring_member& member) const {
+    return std::find(deputies.begin(), deputies.end(), member) != deputies.end();
+}
+
 void cw_ring::add(const cw_ring_member& member) {
     std::erase_if(members, [&](const cw_ring_member& other) { return other.host == member.host; });
     members.push_back(member);
--- a/Source/cw_ring.h
+++ b/Source/cw_ring.h
@@ -28,6 +28,7 @@
     std::string writer;
 
     [[nodiscard]] bool has(const cw_ring_member& member) const;
+    [[nodiscard]] bool is_deputy(const cw_ring_member& member) const;
     /// Adds a member under the present epoch and drops any earlier incarnation of the same host.
     void add(const cw_ring_member& member);
     void remove(const cw_ring_member& member);
--- a/Tests/Ownership/cw_ownership_test.cpp
+++ b/Tests/Ownership/cw_ownership_test.cpp
@@ -132,3 +132,32 @@
         CHECK_MESSAGE(bench.mixed_fences() == 0, "seed " << seed);
     }
 }
+
+TEST_CASE("domain_whose_deputies_do_not_lead_is_taken_over_within_a_second") {
+    cw_ownership_bench bench{{.cut_off = cw_cut_off_policy::release}};
+    // The leader of d1 is heard last, so that d0 names the two others and keeps to them.
+    bench.cut_both("d1k0", "d0");
+    bench.run(3s);
+    bench.heal();
+    bench.run(8s);
+    bench.reset_gaps();
+    for (const auto* keeper : {"d0k0", "d0k1", "d0k2"}) {
+        bench.kill(keeper);
+    }
+    bench.run(5s);
+    CHECK(bench.unowned() == 0);
+    CHECK(bench.longest_gap() <= 1s);
+    CHECK(bench.two_owner_moments() == 0);
+}
+
+TEST_CASE("deputy_killed_is_replaced_before_an_outage_of_the_store_stops_its_ward") {
+    settled_estate estate{{.cut_off = cw_cut_off_policy::release}};
+    estate.bench.kill("d1k0");
+    estate.bench.run(2500ms);
+    estate.bench.reset_gaps();
+    estate.bench.set_store_up(false);
+    estate.bench.run(10s);
+    CHECK(estate.bench.unowned() == 0);
+    CHECK(estate.bench.longest_gap() <= 10ms);
+    CHECK(estate.bench.two_owner_moments() == 0);
+}
