Refuse requests that crash upstreams, find limits by answers, cancel abandoned work

Cause: a request that crashes its upstream, sent again and again, killed all of them. Every router took all slots of an upstream for its own. A caller that left had its request run to the end. A read whose first attempt lost its connection and whose next was refused was called did-not-run. A router that stopped with open connections destroyed their sessions after what they refer to (a test of cut answers crashed on it). Ruled out: counting crashes per key (punishes its other callers) and without looking whether the upstream is dead (blames closed connections). Change: cw_crash_ledger, shared by cw_crash_relay between keepers and by cw_crash_guard in routers; cw_upstream_gate with queues in place of polling a shared counter; cw_disconnect_watch; may_have_run in the attempt's state; sessions are closed and awaited before a traffic thread ends; the session is split into chooser, runner and session. docs/ROUTING.md weighs the ways.

--- a/Source/cuminwinch_keeper.cpp
+++ b/Source/cuminwinch_keeper.cpp
@@ -83,6 +83,14 @@
     return "{}";
 }
 
+std::string accept_crash(cw_keeper_io& io, const std::string& text) {
+    const auto crash = nlohmann::json::parse(text);
+    io.deliver(cw_crash_event{crash.at("fingerprint").get<std::uint64_t>(),
+                              crash.at("address").get<std::string>(),
+                              crash.at("answered").get<bool>()});
+    return "{}";
+}
+
 void run(const cw_keeper_options& options) {
     boost::asio::io_context context{1};
     cw_kernel kernel;
@@ -95,7 +103,8 @@
           [&](const std::string&) {
               return nlohmann::json{{"events", io.timeline().after(0)}}.dump();
           }},
-         {"report", [&](const std::string& report) { return accept_report(io, report); }}}};
+         {"report", [&](const std::string& report) { return accept_report(io, report); }},
+         {"crash", [&](const std::string& crash) { return accept_crash(io, crash); }}}};
     boost::asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&](const boost::system::error_code& failure, int) {
         if (!failure) {
--- a/Source/cuminwinch_router.cpp
+++ b/Source/cuminwinch_router.cpp
@@ -17,6 +17,10 @@
     settings.add_addresses("keepers", "IP:PORT,... of keepers, this host's own first");
     settings.add_address("keeper-rpc", "IP:PORT of the own keeper's JSON-RPC interface");
     settings.add_number("threads", "Traffic threads", 1, 64, 2);
+    settings.add_number("most-requests", "Requests in hand above which others are refused", 1,
+                        1'000'000, 10'000);
+    settings.add_choice("limits", "Requests in flight per upstream: found by its answers, or fixed",
+                        {"adaptive", "fixed"}, "adaptive");
     settings.add_number("notice-ms", "Time for the balancer to notice a stop", 0, 60'000, 1'000);
     settings.add_number("drain-ms", "Longest wait for requests in flight at stop", 0, 3'600'000,
                         60'000);
@@ -33,6 +37,8 @@
     options.keepers = settings.addresses("keepers");
     options.keeper_rpc = settings.text("keeper-rpc");
     options.threads = static_cast<std::uint32_t>(settings.number("threads"));
+    options.most_requests = static_cast<std::uint32_t>(settings.number("most-requests"));
+    options.adaptive_limits = settings.text("limits") == "adaptive";
     options.notice = settings.milliseconds("notice-ms");
     options.drain = settings.milliseconds("drain-ms");
     return options;
--- a/Source/cw_attempt.cpp
+++ b/Source/cw_attempt.cpp
@@ -19,5 +19,6 @@
     if (harmless && may_retry) {
         return cw_next_step::retry_elsewhere;
     }
-    return did_not_run ? cw_next_step::refuse : cw_next_step::report_unknown;
+    // A refusal is true only if no earlier attempt may have run either.
+    return did_not_run && !state.may_have_run ? cw_next_step::refuse : cw_next_step::report_unknown;
 }
--- a/Source/cw_attempt.h
+++ b/Source/cw_attempt.h
@@ -17,7 +17,9 @@
     /// The deadline passed after something was sent.
     timed_out,
     /// The answer cannot be read as HTTP or lacks a part.
-    malformed
+    malformed,
+    /// The caller went away; the upstream was told so by the end of its connection.
+    caller_left
 };
 
 /// What the router does after an attempt.
@@ -35,6 +37,8 @@
 struct cw_attempt_state {
     /// True when the request may be sent again although it may have run.
     bool idempotent = false;
+    /// True when any attempt so far may have run.
+    bool may_have_run = false;
     std::uint32_t attempts = 1;
     /// True when the retry budget has a token left.
     bool budget_left = true;
--- /dev/null
+++ b/Source/cw_attempt_runner.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "cw_attempt.h"
+#include "cw_deadline_sweeper.h"
+#include "cw_upstream_pool.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+
+class cw_disconnect_watch;
+struct cw_proxy_exchange;
+struct cw_traffic_context;
+
+/// Carries out one attempt: connects to the chosen upstream, sends the request and receives the
+/// answer.
+///
+/// A connection goes back to the pool only after a whole answer. A caller that goes away has its
+/// request cancelled by the end of the upstream's connection.
+class cw_attempt_runner {
+public:
+    cw_attempt_runner(cw_traffic_context& traffic, boost::asio::ip::tcp::socket& caller,
+                      cw_deadline_sweeper::guard& caller_deadline,
+                      boost::beast::flat_buffer& caller_buffer)
+        : traffic_{traffic},
+          caller_{caller},
+          caller_deadline_{caller_deadline},
+          caller_buffer_{caller_buffer} {}
+
+    boost::asio::awaitable<cw_attempt_result> run(cw_proxy_exchange& current);
+    /// True when nothing listens at the exchange's upstream any more.
+    boost::asio::awaitable<bool> is_upstream_dead(const cw_proxy_exchange& current);
+
+private:
+    using stream = cw_upstream_pool::stream;
+
+    boost::asio::awaitable<std::unique_ptr<stream>> connect(cw_proxy_exchange& current);
+    boost::asio::awaitable<cw_attempt_result> send_and_receive(cw_proxy_exchange& current,
+                                                               stream& upstream);
+    boost::asio::awaitable<bool> send_held(cw_proxy_exchange& current, stream& upstream,
+                                           cw_attempt_result& result);
+    boost::asio::awaitable<bool> stream_request(cw_proxy_exchange& current, stream& upstream);
+    boost::asio::awaitable<cw_attempt_result> receive(cw_proxy_exchange& current, stream& upstream,
+                                                      cw_disconnect_watch* watch);
+    template <typename Parser>
+    boost::asio::awaitable<cw_attempt_result>
+    stream_answer(cw_proxy_exchange& current, stream& upstream, boost::beast::flat_buffer& buffer,
+                  Parser& head);
+
+    cw_traffic_context& traffic_;
+    boost::asio::ip::tcp::socket& caller_;
+    cw_deadline_sweeper::guard& caller_deadline_;
+    boost::beast::flat_buffer& caller_buffer_;
+};
--- /dev/null
+++ b/Source/cw_crash_ledger.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "cw_time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// How long crashes are remembered and requests refused.
+struct cw_crash_options {
+    /// Crashes after which the request is refused.
+    std::uint32_t most_crashes = 3;
+    /// First time of refusal; it doubles each time that the request crashes an upstream again.
+    std::chrono::milliseconds block{60'000};
+    std::chrono::milliseconds most_block{900'000};
+    /// Time without a further crash after which a request is forgotten.
+    std::chrono::milliseconds memory{1'800'000};
+    /// Crashes at one address within this time are one crash that several routers saw.
+    std::chrono::milliseconds same_crash{400};
+};
+
+/// Requests that upstreams died of, by fingerprint.
+///
+/// Whatever runs beside such a request is marked with it, so a fingerprint counts only as long as
+/// it is never answered.
+class cw_crash_ledger {
+public:
+    explicit cw_crash_ledger(cw_crash_options options)
+        : options_{options} {}
+
+    /// Notes that the upstream at the address died while it ran the request; false when this crash
+    /// is known.
+    bool on_crash(std::uint64_t fingerprint, const std::string& address, cw_time_point now);
+    /// The request was answered, so it is none of these; false when nothing was known of it.
+    bool on_answer(std::uint64_t fingerprint);
+    /// Raises the number of crashes to what others have counted; a lower number changes nothing.
+    void raise(std::uint64_t fingerprint, std::uint32_t crashes, cw_time_point now);
+    /// End of the time in which the request is refused; a past time when it is not.
+    [[nodiscard]] cw_time_point refused_until(std::uint64_t fingerprint) const;
+    [[nodiscard]] std::uint32_t crashes(std::uint64_t fingerprint) const;
+    /// Marked requests with the number of their crashes.
+    [[nodiscard]] std::map<std::uint64_t, std::uint32_t> all() const;
+    /// Forgets what has lapsed.
+    void on_tick(cw_time_point now);
+    [[nodiscard]] bool empty() const { return entries_.empty(); }
+
+private:
+    struct entry {
+        std::uint32_t crashes = 0;
+        std::uint32_t blocks = 0;
+        cw_time_point blocked_until{};
+        cw_time_point last{};
+        std::map<std::string, cw_time_point> addresses;
+    };
+
+    entry& entry_of(std::uint64_t fingerprint);
+    void count(entry& known, std::uint32_t crashes, cw_time_point now) const;
+
+    static constexpr std::size_t most_entries = 4'096;
+
+    cw_crash_options options_;
+    std::map<std::uint64_t, entry> entries_;
+};
--- /dev/null
+++ b/Source/cw_crash_relay.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cw_crash_ledger.h"
+#include "cw_keeper_event.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+class cw_keeper_context;
+
+/// Shares between the keepers of a firm which requests upstreams died of, and tells the routers.
+///
+/// A mark goes straight to every keeper of the firm, and again a few times, since messages may be
+/// lost. Marks are rare, so no tree is worth its delay.
+class cw_crash_relay {
+public:
+    explicit cw_crash_relay(cw_keeper_context& context);
+
+    /// A router of this host reports a crash, or that a marked request was answered after all.
+    void on_report(const cw_crash_event& event, cw_time_point now);
+    void on_mark(const cw_crash_message& mark, cw_time_point now);
+    void on_tick(cw_time_point now);
+
+    /// Marked requests with the number of their crashes.
+    [[nodiscard]] std::map<std::uint64_t, std::uint32_t> crashes() const;
+
+private:
+    struct repeat {
+        cw_crash_message mark;
+        std::uint32_t left = 0;
+        cw_time_point due;
+    };
+
+    bool take(const cw_crash_message& mark, cw_time_point now);
+    void send(const cw_crash_message& mark);
+
+    cw_keeper_context& context_;
+    cw_crash_ledger ledger_;
+    std::vector<repeat> repeats_;
+    /// Marks taken lately, by sender and number, so that a repeated one counts once.
+    std::deque<std::pair<std::string, std::uint64_t>> taken_;
+    cw_time_point next_cleaning_{};
+};
--- a/Source/cw_deadline_sweeper.cpp
+++ b/Source/cw_deadline_sweeper.cpp
@@ -8,7 +8,7 @@
 } // namespace
 
 boost::asio::awaitable<void> cw_deadline_sweeper::run() {
-    while (true) {
+    while (!closed_) {
         timer_.expires_after(sweep_interval);
         boost::system::error_code failure;
         co_await timer_.async_wait(cw_into(failure));
@@ -21,3 +21,11 @@
         }
     }
 }
+
+void cw_deadline_sweeper::close() {
+    closed_ = true;
+    for (auto& waiting : entries_) {
+        boost::system::error_code ignored;
+        waiting.socket->close(ignored);
+    }
+}
--- a/Source/cw_deadline_sweeper.h
+++ b/Source/cw_deadline_sweeper.h
@@ -45,10 +45,13 @@
         std::list<entry>::iterator place_;
     };
 
-    /// Sweeps until the context stops.
+    /// Sweeps until close() is called.
     boost::asio::awaitable<void> run();
+    /// Closes all watched sockets, which ends what waits on them.
+    void close();
 
 private:
     boost::asio::steady_timer timer_;
     std::list<entry> entries_;
+    bool closed_ = false;
 };
--- a/Source/cw_keeper_command.h
+++ b/Source/cw_keeper_command.h
@@ -34,10 +34,8 @@
     std::string from;
     std::uint64_t version = 0;
 };
-/// The ownership table of a service has changed; routers should be told.
-struct cw_publish_command {
-    std::string service;
-};
+/// What routers work by has changed, and they should be told.
+struct cw_publish_command {};
 /// All rights are given up; the process may end.
 struct cw_stopped_command {};
 
--- a/Source/cw_keeper_control.cpp
+++ b/Source/cw_keeper_control.cpp
@@ -69,7 +69,9 @@
         for (const auto& [id, host] : core_.context().hosts()) {
             hosts.push_back(cw_host_to_json(host));
         }
-        return nlohmann::json{{"tables", tables}, {"hosts", hosts}}.dump();
+        return nlohmann::json{
+            {"tables", tables}, {"hosts", hosts}, {"crashes", core_.crashes().crashes()}}
+            .dump();
     }
 
     std::string status(cw_time_point now) const {
--- a/Source/cw_keeper_core.cpp
+++ b/Source/cw_keeper_core.cpp
@@ -12,6 +12,7 @@
       balancer_{context_, membership_, leases_, mover_},
       condemner_{context_, membership_, leases_, balancer_},
       releaser_{context_, membership_, balancer_},
+      crashes_{context_},
       relay_{context_.self().host, {}, context_.self().incarnation} {}
 
 std::vector<cw_keeper_command> cw_keeper_core::decide(const cw_keeper_event& event,
@@ -43,6 +44,7 @@
 void cw_keeper_core::handle(const cw_tick_event& /*event*/, cw_time_point now) {
     membership_.on_tick(now);
     relay_.on_tick(now);
+    crashes_.on_tick(now);
     if (stopping_) {
         if (!stopped_ && (now >= stop_by_ || !membership_.is_member())) {
             stopped_ = true;
@@ -119,7 +121,7 @@
     }
     leases_.on_table(*context_.table(service), now);
     balancer_.on_table(previous ? &*previous : nullptr, event.table, now);
-    context_.emit(cw_publish_command{service});
+    context_.emit(cw_publish_command{});
     if (membership_.ring() && !stopping_) {
         // A change of owners is carried out at once rather than with the next tick.
         leases_.on_tick(now);
@@ -171,6 +173,8 @@
         relay_.on_offer(from.host, offer->version, now);
     } else if (const auto* offer_ack = std::get_if<cw_offer_ack_message>(&body)) {
         relay_.on_acknowledgement(from.host, offer_ack->version);
+    } else if (const auto* mark = std::get_if<cw_crash_message>(&body)) {
+        crashes_.on_mark(*mark, now);
     }
 }
 
@@ -183,6 +187,10 @@
     balancer_.on_router_load(event);
 }
 
+void cw_keeper_core::handle(const cw_crash_event& event, cw_time_point now) {
+    crashes_.on_report(event, now);
+}
+
 void cw_keeper_core::handle(const cw_stop_event& /*event*/, cw_time_point now) {
     if (stopping_) {
         return;
--- a/Source/cw_keeper_core.h
+++ b/Source/cw_keeper_core.h
@@ -2,6 +2,7 @@
 
 #include "cw_balancer.h"
 #include "cw_condemner.h"
+#include "cw_crash_relay.h"
 #include "cw_keeper_command.h"
 #include "cw_keeper_context.h"
 #include "cw_keeper_event.h"
@@ -31,6 +32,7 @@
     [[nodiscard]] const cw_lease_keeper& leases() const { return leases_; }
     [[nodiscard]] const cw_condemner& condemner() const { return condemner_; }
     [[nodiscard]] const cw_balancer& balancer() const { return balancer_; }
+    [[nodiscard]] const cw_crash_relay& crashes() const { return crashes_; }
     /// Keys of the store whose changes this keeper needs to hear of.
     [[nodiscard]] std::vector<std::string> watched_keys() const;
 
@@ -44,6 +46,7 @@
     void handle(const cw_peer_message& event, cw_time_point now);
     void handle(const cw_lease_reply& event, cw_time_point now);
     void handle(const cw_router_load_event& event, cw_time_point now);
+    void handle(const cw_crash_event& event, cw_time_point now);
     void handle(const cw_stop_event& event, cw_time_point now);
     /// Carries the relay's commands out and tells it the hosts.
     void flush_relay();
@@ -57,6 +60,7 @@
     cw_balancer balancer_;
     cw_condemner condemner_;
     cw_releaser releaser_;
+    cw_crash_relay crashes_;
     cw_relay relay_;
     bool stopping_ = false;
     bool stopped_ = false;
--- a/Source/cw_keeper_event.h
+++ b/Source/cw_keeper_event.h
@@ -52,9 +52,16 @@
     std::string service;
     cw_service_load load;
 };
+/// A router of this host saw an upstream die of a request, or a marked request answered after all.
+struct cw_crash_event {
+    std::uint64_t fingerprint = 0;
+    /// "IP:port" of the upstream that died.
+    std::string address;
+    bool answered = false;
+};
 /// The process was told to stop.
 struct cw_stop_event {};
 
 using cw_keeper_event = std::variant<cw_tick_event, cw_hosts_event, cw_config_event, cw_table_event,
                                      cw_ring_event, cw_write_event, cw_peer_message, cw_lease_reply,
-                                     cw_router_load_event, cw_stop_event>;
+                                     cw_router_load_event, cw_crash_event, cw_stop_event>;
--- a/Source/cw_key_hash.cpp
+++ b/Source/cw_key_hash.cpp
@@ -13,3 +13,9 @@
 std::uint64_t cw_rendezvous_weight(std::string_view name, std::string_view candidate) {
     return XXH3_64bits_withSeed(candidate.data(), candidate.size(), cw_key_hash(name));
 }
+
+std::uint64_t cw_request_fingerprint(std::string_view method, std::string_view target,
+                                     std::string_view body) {
+    const auto head = XXH3_64bits_withSeed(target.data(), target.size(), cw_key_hash(method));
+    return XXH3_64bits_withSeed(body.data(), body.size(), head);
+}
--- a/Source/cw_peer_codec.cpp
+++ b/Source/cw_peer_codec.cpp
@@ -52,6 +52,9 @@
     json operator()(const cw_leave_message& /*body*/) const { return json::array(); }
     json operator()(const cw_offer_message& body) const { return json::array({body.version}); }
     json operator()(const cw_offer_ack_message& body) const { return json::array({body.version}); }
+    json operator()(const cw_crash_message& body) const {
+        return {body.reporter, body.number, body.fingerprint, body.address, body.answered};
+    }
     json operator()(const cw_load_message& body) const {
         return {body.service, body.table_epoch, body.slice_quarters, write_rates(body.keys),
                 body.unreachable};
@@ -91,6 +94,10 @@
         return cw_offer_message{body.at(0).get<std::uint64_t>()};
     case kind_of<cw_offer_ack_message>:
         return cw_offer_ack_message{body.at(0).get<std::uint64_t>()};
+    case kind_of<cw_crash_message>:
+        return cw_crash_message{body.at(0).get<std::string>(), body.at(1).get<std::uint64_t>(),
+                                body.at(2).get<std::uint64_t>(), body.at(3).get<std::string>(),
+                                body.at(4).get<bool>()};
     default:
         return read_load(body);
     }
--- a/Source/cw_peer_message.h
+++ b/Source/cw_peer_message.h
@@ -66,10 +66,21 @@
     std::vector<std::string> unreachable;
 };
 
+/// Tells of a request that an upstream died of, or that such a request was answered after all.
+struct cw_crash_message {
+    /// Host that saw it and its number there, by which a repeated message is recognised.
+    std::string reporter;
+    std::uint64_t number = 0;
+    std::uint64_t fingerprint = 0;
+    /// "IP:port" of the upstream that died.
+    std::string address;
+    bool answered = false;
+};
+
 using cw_peer_body =
     std::variant<cw_ask_message, cw_promise_message, cw_hold_message, cw_hold_ack_message,
                  cw_unhold_message, cw_reachable_message, cw_leave_message, cw_load_message,
-                 cw_offer_message, cw_offer_ack_message>;
+                 cw_offer_message, cw_offer_ack_message, cw_crash_message>;
 
 /// A message with its sender and the incarnation it is meant for.
 struct cw_peer_message {
--- /dev/null
+++ b/Source/cw_proxy_exchange.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cw_attempt.h"
+#include "cw_http_message.h"
+#include "cw_route_view.h"
+#include "cw_time.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+using cw_request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+/// One caller's request on its way through the router.
+struct cw_proxy_exchange {
+    cw_http_request request;
+    /// Set when the body is too large to hold; its bytes are still on the caller's connection.
+    cw_request_parser* streamed_body = nullptr;
+    /// True once the body has been read off the caller's connection.
+    bool body_consumed = false;
+    cw_route route;
+    std::shared_ptr<const cw_route_view> view;
+    std::string address;
+    /// Upstreams that an attempt has failed at.
+    std::vector<std::string> tried;
+    cw_time_point started;
+    cw_time_point deadline;
+    cw_attempt_state state;
+    /// The whole answer, once there is one.
+    cw_http_response answer;
+    /// True when the answer has been streamed to the caller already.
+    bool streamed_answer = false;
+    /// What an upstream or the network said last, for the caller and the log.
+    std::string reason;
+    /// When a refused caller should come back; zero for the time that a loss takes.
+    std::chrono::milliseconds come_back{0};
+};
--- a/Source/cw_route_view.cpp
+++ b/Source/cw_route_view.cpp
@@ -36,6 +36,10 @@
             return tl::unexpected(hosts.error());
         }
         view->hosts_ = std::move(*hosts);
+        // A keeper of the release before states none.
+        if (state.contains("crashes")) {
+            view->crashes_ = state.at("crashes").get<std::map<std::uint64_t, std::uint32_t>>();
+        }
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse routes", "keeper", failure.what()});
     }
@@ -74,15 +78,15 @@
     return route;
 }
 
-std::vector<std::string> cw_route_view::pool(std::string_view service,
-                                             std::string_view domain) const {
-    std::vector<std::string> near;
+cw_upstream_choices cw_route_view::pool(std::string_view service, std::string_view domain) const {
+    cw_upstream_choices choices;
     std::vector<std::string> far;
     for (const auto& host : hosts_) {
         if (host.kind == cw_host_kind::upstream && host.service == service && !host.leaving) {
-            (host.domain == domain ? near : far).push_back(host.address);
+            (host.domain == domain ? choices.addresses : far).push_back(host.address);
         }
     }
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
+    choices.near = choices.addresses.size();
+    choices.addresses.insert(choices.addresses.end(), far.begin(), far.end());
+    return choices;
 }
--- a/Source/cw_route_view.h
+++ b/Source/cw_route_view.h
@@ -23,6 +23,14 @@
     std::string address;
 };
 
+/// Upstreams of a service without keys.
+struct cw_upstream_choices {
+    /// "IP:port" of each, those of the own failure domain first.
+    std::vector<std::string> addresses;
+    /// How many of them are of the own failure domain.
+    std::size_t near = 0;
+};
+
 /// Configuration, tables and hosts as one keeper stated them at one moment. Never changed in place.
 class cw_route_view {
 public:
@@ -37,9 +45,10 @@
 
     /// The route of a path. The step that failed is named when there is no service or no table.
     [[nodiscard]] cw_result<cw_route> find(std::string_view path) const;
-    /// Upstreams of a service without keys that are not leaving, those of the domain first.
-    [[nodiscard]] std::vector<std::string> pool(std::string_view service,
-                                                std::string_view domain) const;
+    /// Upstreams of a service without keys that are not leaving, as seen from a failure domain.
+    [[nodiscard]] cw_upstream_choices pool(std::string_view service, std::string_view domain) const;
+    /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
+    [[nodiscard]] const std::map<std::uint64_t, std::uint32_t>& crashes() const { return crashes_; }
 
 private:
     std::uint64_t run_ = 0;
@@ -47,4 +56,5 @@
     std::shared_ptr<const cw_config> config_;
     std::map<std::string, cw_slice_table> tables_;
     std::vector<cw_host> hosts_;
+    std::map<std::uint64_t, std::uint32_t> crashes_;
 };
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -30,12 +30,13 @@
 
 cw_router::cw_router(cw_router_options options)
     : options_{std::move(options)},
-      shared_{options_.host, options_.domain},
+      shared_{options_.host, options_.domain, options_.most_requests},
       admin_{context_, options_.admin,
              [this](cw_http_request request) { return serve_admin(std::move(request)); }},
       http_{context_} {
     for (std::uint32_t i = 0; i < options_.threads; ++i) {
-        threads_.push_back(std::make_unique<cw_traffic_thread>(shared_, options_.listen));
+        threads_.push_back(std::make_unique<cw_traffic_thread>(shared_, options_.listen,
+                                                               options_.adaptive_limits));
     }
 }
 
--- a/Source/cw_router_metrics.cpp
+++ b/Source/cw_router_metrics.cpp
@@ -23,6 +23,11 @@
     ++retries_;
 }
 
+void cw_router_metrics::on_abandoned() {
+    const std::scoped_lock lock{mutex_};
+    ++abandoned_;
+}
+
 void cw_router_metrics::on_key(const std::string& service, std::uint64_t first,
                                std::uint64_t position) {
     const std::scoped_lock lock{mutex_};
@@ -45,6 +50,7 @@
         text << "cuminwinch_requests_total{thread=\"" << thread << "\",outcome=\""
              << outcome_names.at(i) << "\"} " << outcomes_.at(i) << '\n';
     }
+    text << "cuminwinch_abandoned_total{thread=\"" << thread << "\"} " << abandoned_ << '\n';
     text << "cuminwinch_retries_total{thread=\"" << thread << "\"} " << retries_ << '\n';
     for (std::size_t i = 0; i < quantiles.size(); ++i) {
         text << "cuminwinch_latency_seconds{thread=\"" << thread << "\",quantile=\""
--- a/Source/cw_router_metrics.h
+++ b/Source/cw_router_metrics.h
@@ -27,6 +27,8 @@
 
     void on_answer(cw_outcome outcome, std::chrono::steady_clock::duration latency);
     void on_retry();
+    /// The caller went away before its answer.
+    void on_abandoned();
     /// Counts a request for a key at the given position, which lies in the slice that begins at
     /// `first`.
     void on_key(const std::string& service, std::uint64_t first, std::uint64_t position);
@@ -46,5 +48,6 @@
     latencies latencies_;
     std::array<std::uint64_t, 3> outcomes_{};
     std::uint64_t retries_ = 0;
+    std::uint64_t abandoned_ = 0;
     std::unordered_map<std::string, cw_key_counter> services_;
 };
--- a/Source/cw_router_options.h
+++ b/Source/cw_router_options.h
@@ -20,6 +20,10 @@
     /// "IP:port" of the own keeper's JSON-RPC interface.
     std::string keeper_rpc;
     std::uint32_t threads = 1;
+    /// Requests in hand above which all are refused; lower priorities are refused earlier.
+    std::uint32_t most_requests = 10'000;
+    /// False for fixed limits per thread, without backoff or ejection.
+    bool adaptive_limits = true;
     /// Time between the loss of readiness and the end of accepting, for the balancer to notice.
     std::chrono::milliseconds notice{};
     /// Longest wait for requests in flight at stop.
--- a/Source/cw_router_services.cpp
+++ b/Source/cw_router_services.cpp
@@ -2,11 +2,12 @@
 
 #include "cw_kernel.h"
 #include "cw_log.h"
-#include "cw_proxy_session.h"
 #include "cw_router_shared.h"
 #include "cw_rpc_client.h"
+#include "cw_traffic_context.h"
 
 #include <caf/event_based_actor.hpp>
+#include <caf/send.hpp>
 #include <nlohmann/json.hpp>
 
 namespace {
@@ -29,6 +30,7 @@
         shared.timeline().add({"config-in-force", "version " + std::to_string(version), ""},
                               std::chrono::system_clock::now());
     }
+    shared.crashes().set_shared((*view)->crashes(), std::chrono::steady_clock::now());
     shared.set_view(*view);
 }
 
@@ -51,6 +53,16 @@
         }
     }
 
+    /// Passes on what was learnt of a request that crashes upstreams.
+    void report_crash(std::uint64_t fingerprint, const std::string& address, bool answered) {
+        const nlohmann::json crash{
+            {"fingerprint", fingerprint}, {"address", address}, {"answered", answered}};
+        std::string result;
+        if (!client_.call("crash", crash.dump(), result)) {
+            cw_log{"router"}.warning("A crash is not reported.", {{"error", result}});
+        }
+    }
+
 private:
     /// For each service the counts by slice and by hot key, each as [position, count].
     nlohmann::json collect_loads() {
@@ -94,12 +106,19 @@
                             const cw_router_options& options,
                             std::vector<cw_traffic_context*> traffic) {
     auto state = std::make_shared<reporter>(shared, options, std::move(traffic));
-    kernel.add("report", kernel.system().spawn<caf::detached>(
-                             [state](caf::event_based_actor* self) -> caf::behavior {
-                                 self->delayed_send(self, report_interval, tick_atom::value);
-                                 return {[state, self](tick_atom) {
-                                     self->delayed_send(self, report_interval, tick_atom::value);
-                                     state->report();
-                                 }};
-                             }));
+    kernel.add("report", kernel.system().spawn<caf::detached>([state](caf::event_based_actor* self)
+                                                                  -> caf::behavior {
+        self->delayed_send(self, report_interval, tick_atom::value);
+        return {[state, self](tick_atom) {
+                    self->delayed_send(self, report_interval, tick_atom::value);
+                    state->report();
+                },
+                [state](std::uint64_t fingerprint, const std::string& address, bool answered) {
+                    state->report_crash(fingerprint, address, answered);
+                }};
+    }));
+    shared.crashes().set_reporter(
+        [&kernel](std::uint64_t fingerprint, const std::string& address, bool answered) {
+            caf::anon_send(kernel.find("report"), fingerprint, address, answered);
+        });
 }
--- a/Source/cw_router_shared.cpp
+++ b/Source/cw_router_shared.cpp
@@ -1,10 +1,23 @@
 #include "cw_router_shared.h"
 
-cw_in_flight& cw_router_shared::in_flight(const std::string& address) {
-    const std::scoped_lock lock{mutex_};
-    auto& counter = in_flight_[address];
-    if (!counter) {
-        counter = std::make_unique<cw_in_flight>();
+namespace {
+
+/// Share of the router's requests up to which each priority is admitted.
+double admitted_share(cw_priority priority) {
+    switch (priority) {
+    case cw_priority::batch:
+        return 0.6;
+    case cw_priority::interactive:
+        return 0.85;
+    case cw_priority::critical:
+        break;
     }
-    return *counter;
+    return 1.0;
+}
+
+} // namespace
+
+bool cw_router_shared::is_full_for(cw_priority priority) const {
+    return static_cast<double>(open_requests.load(std::memory_order_relaxed)) >
+           admitted_share(priority) * static_cast<double>(most_requests_);
 }
--- a/Source/cw_router_shared.h
+++ b/Source/cw_router_shared.h
@@ -1,26 +1,20 @@
 #pragma once
 
+#include "cw_crash_guard.h"
 #include "cw_route_view.h"
 #include "cw_timeline.h"
 
 #include <atomic>
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <unordered_map>
-
-/// Requests of this router that one upstream has in hand.
-struct cw_in_flight {
-    std::atomic<std::uint32_t> count{0};
-};
 
 /// State that the router's control service and its traffic threads share.
 class cw_router_shared {
 public:
-    cw_router_shared(std::string host, std::string domain)
+    cw_router_shared(std::string host, std::string domain, std::uint32_t most_requests)
         : domain_{std::move(domain)},
+          most_requests_{most_requests},
           timeline_{std::move(host), domain_, "router"} {}
 
     [[nodiscard]] const std::string& domain() const { return domain_; }
@@ -30,8 +24,9 @@
     void set_view(std::shared_ptr<const cw_route_view> view) {
         std::atomic_store_explicit(&view_, std::move(view), std::memory_order_release);
     }
-    /// The counter of an upstream; it lives as long as this object.
-    [[nodiscard]] cw_in_flight& in_flight(const std::string& address);
+    /// True when requests of this priority are refused for the sake of higher ones.
+    [[nodiscard]] bool is_full_for(cw_priority priority) const;
+    [[nodiscard]] cw_crash_guard& crashes() { return crashes_; }
     [[nodiscard]] cw_timeline& timeline() { return timeline_; }
 
     [[nodiscard]] bool is_stopping() const { return stopping_.load(std::memory_order_relaxed); }
@@ -42,8 +37,8 @@
 private:
     std::string domain_;
     std::shared_ptr<const cw_route_view> view_;
-    std::mutex mutex_;
-    std::unordered_map<std::string, std::unique_ptr<cw_in_flight>> in_flight_;
+    std::uint32_t most_requests_;
+    cw_crash_guard crashes_{cw_crash_options{}};
     std::atomic<bool> stopping_{false};
     cw_timeline timeline_;
 };
--- /dev/null
+++ b/Source/cw_traffic_context.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "cw_deadline_sweeper.h"
+#include "cw_gate_set.h"
+#include "cw_retry_budget.h"
+#include "cw_router_metrics.h"
+#include "cw_upstream_pool.h"
+
+#include <boost/asio/io_context.hpp>
+
+class cw_router_shared;
+
+/// What one traffic thread's sessions share.
+struct cw_traffic_context {
+    cw_traffic_context(boost::asio::io_context& io, cw_router_shared& state, bool adaptive_limits)
+        : context{io},
+          shared{state},
+          pool{io},
+          sweeper{io},
+          gates{io, adaptive_limits} {}
+
+    boost::asio::io_context& context;
+    cw_router_shared& shared;
+    cw_upstream_pool pool;
+    cw_deadline_sweeper sweeper;
+    cw_gate_set gates;
+    cw_router_metrics metrics;
+    cw_retry_budget budget;
+};
--- a/Source/cw_traffic_thread.cpp
+++ b/Source/cw_traffic_thread.cpp
@@ -1,6 +1,7 @@
 #include "cw_traffic_thread.h"
 
 #include "cw_async.h"
+#include "cw_proxy_session.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,11 +10,15 @@
 namespace net = boost::asio;
 
 namespace {
+using namespace std::chrono_literals;
+constexpr auto longest_end = 2s;
+constexpr auto end_poll = 1ms;
 using reuse_port = net::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 } // namespace
 
-cw_traffic_thread::cw_traffic_thread(cw_router_shared& shared, const cw_address& address)
-    : traffic_{context_, shared},
+cw_traffic_thread::cw_traffic_thread(cw_router_shared& shared, const cw_address& address,
+                                     bool adaptive_limits)
+    : traffic_{context_, shared, adaptive_limits},
       acceptor_{context_} {
     acceptor_.open(address.tcp().protocol());
     acceptor_.set_option(net::ip::tcp::acceptor::reuse_address{true});
@@ -37,10 +42,22 @@
 }
 
 void cw_traffic_thread::stop() {
-    context_.stop();
-    if (thread_.joinable()) {
-        thread_.join();
+    if (!thread_.joinable()) {
+        return;
+    }
+    // A session that outlived the thread would be destroyed with the context, after what it refers
+    // to.
+    net::post(context_, [this] {
+        acceptor_.close();
+        traffic_.sweeper.close();
+        traffic_.gates.close();
+    });
+    const auto until = std::chrono::steady_clock::now() + longest_end;
+    while (!context_.stopped() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(end_poll);
     }
+    context_.stop();
+    thread_.join();
 }
 
 net::awaitable<void> cw_traffic_thread::accept() {
--- a/Source/cw_traffic_thread.h
+++ b/Source/cw_traffic_thread.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cw_address.h"
-#include "cw_proxy_session.h"
+#include "cw_traffic_context.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,13 +11,13 @@
 class cw_traffic_thread {
 public:
     /// Binds at once; throws boost::system::system_error when the address is taken.
-    cw_traffic_thread(cw_router_shared& shared, const cw_address& address);
+    cw_traffic_thread(cw_router_shared& shared, const cw_address& address, bool adaptive_limits);
     ~cw_traffic_thread();
 
     void start();
     /// Accepts no more callers.
     void stop_accepting();
-    /// Ends the thread with all its connections.
+    /// Closes all connections, waits for their sessions to end, and ends the thread.
     void stop();
     [[nodiscard]] cw_traffic_context& traffic() { return traffic_; }
 
--- /dev/null
+++ b/Source/cw_upstream_gate.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "cw_attempt.h"
+#include "cw_time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+/// Limits of one upstream as one traffic thread keeps them.
+struct cw_gate_options {
+    /// Requests in flight that the upstream is said to bear; the limit never passes it.
+    std::uint32_t most = 1;
+    /// False for a limit that is always `most`, without backoff or ejection.
+    bool adaptive = true;
+};
+
+/// Decides how many requests one traffic thread has in flight at one upstream.
+///
+/// Many threads of many routers share the upstream's slots without telling each other: each finds
+/// its share by the upstream's answers. The limit rises by about one for each round of answers and
+/// halves with a refusal, which also keeps the thread away for a while. A limit starts at one, so a
+/// cold upstream is filled slowly.
+class cw_upstream_gate {
+public:
+    cw_upstream_gate(cw_gate_options options, std::uint64_t seed);
+
+    /// The configuration may change the slots while the gate is in use.
+    void set_most(std::uint32_t most) { options_.most = most; }
+
+    /// True when one more request may be sent now.
+    [[nodiscard]] bool may_send(cw_time_point now) const;
+    void on_sent(cw_time_point now);
+    /// `latency` is the time from sending to the end of the attempt.
+    void on_result(cw_attempt_result result, std::chrono::nanoseconds latency, cw_time_point now);
+
+    /// True while recent failures speak against choosing this upstream when there are others.
+    [[nodiscard]] bool is_ejected(cw_time_point now) const { return now < ejected_until_; }
+    /// Moment from which a refusal no longer keeps this thread away.
+    [[nodiscard]] cw_time_point backoff_until() const { return backoff_until_; }
+    [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+    [[nodiscard]] double limit() const { return limit_; }
+    /// Smoothed time to an answer. An estimate that has not been renewed fades, so that a slow
+    /// upstream is tried again.
+    [[nodiscard]] std::chrono::nanoseconds latency(cw_time_point now) const;
+    /// Time that a request behind `waiting` others will wait for its turn.
+    [[nodiscard]] std::chrono::nanoseconds expected_wait(std::size_t waiting,
+                                                         cw_time_point now) const;
+
+private:
+    void on_busy(cw_time_point now);
+    void on_failure(cw_time_point now);
+
+    cw_gate_options options_;
+    std::minstd_rand engine_;
+    double limit_ = 1.0;
+    std::uint32_t in_flight_ = 0;
+    std::chrono::nanoseconds latency_{0};
+    cw_time_point answered_at_{};
+    cw_time_point decreased_at_{};
+    std::chrono::nanoseconds backoff_{0};
+    cw_time_point backoff_until_{};
+    std::uint32_t failures_ = 0;
+    std::uint32_t ejections_ = 0;
+    cw_time_point ejected_until_{};
+};
--- a/Tests/Estate/estate.sh
+++ b/Tests/Estate/estate.sh
@@ -80,7 +80,7 @@
     estate_run "$id-router" cuminwinch-router --host "$id" --domain "$domain" \
         --listen "127.0.0.1:$callers" --admin "127.0.0.1:$admin" \
         --keepers "127.0.0.1:$keeper${ESTATE_FALLBACK:+,$ESTATE_FALLBACK}" \
-        --keeper-rpc "127.0.0.1:$rpc" --threads 1
+        --keeper-rpc "127.0.0.1:$rpc" --threads 1 ${ESTATE_ROUTER_FLAGS:-}
     estate_post /hosts "{\"id\":\"$id\",\"kind\":\"entry\",\"domain\":\"$domain\",\"address\":\"127.0.0.1:$keeper\"}"
 }
 
--- a/Tests/Estate/failures.sh
+++ b/Tests/Estate/failures.sh
@@ -114,6 +114,7 @@
     # The load tool is no balancer: it goes on sending to the stopped router and is refused the connection.
     load_end router-stopped-in-order 99999
     [ "$(field no_answer)" -eq 0 ] || { echo "requests in flight were cut"; failed=1; }
+    wait "${ESTATE_PIDS[entry-kokura-3-router]}" || { echo "the router ended with $?"; failed=1; }
     ESTATE_ROUTERS=("${ESTATE_ROUTERS[@]/${ESTATE_ADDRESS[entry-kokura-3-router]}/}")
     ESTATE_ROUTERS=($(printf '%s\n' "${ESTATE_ROUTERS[@]}" | grep .))
 fi
--- /dev/null
+++ b/Tests/Routing/cw_answer_test.cpp
@@ -0,0 +1,153 @@
+#include "cw_routed_call.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string held_answer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789";
+const std::string chunked_answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                                   "Trailer: X-Sum\r\n\r\n"
+                                   "5\r\nhello\r\n6;ext=1\r\n world\r\n0\r\nX-Sum: 11\r\n\r\n";
+
+/// Answers with the first bytes of an answer and ends the connection.
+cw_raw_upstream::script cut_after(const std::string& answer, const std::size_t& length) {
+    return [answer, &length](const std::string&) {
+        return cw_raw_upstream::reply{answer.substr(0, length), true};
+    };
+}
+
+/// The value of a request's target.
+std::string target_of(const std::string& request) {
+    const auto begin = request.find(' ') + 1;
+    return request.substr(begin, request.find(' ', begin) - begin);
+}
+
+std::string whole_answer(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("held_answer_cut_at_each_byte_is_unknown_and_only_the_whole_one_is_answered") {
+    std::size_t length = 0;
+    cw_routed_call router{cut_after(held_answer, length)};
+    for (; length < held_answer.size(); ++length) {
+        const auto seen = router.call("POST", "/gallery/k/x", 2s);
+        CHECK_MESSAGE(seen.whole, "cut at " << length);
+        CHECK_MESSAGE(seen.outcome == "unknown", "cut at " << length);
+        CHECK_MESSAGE(seen.status == 502, "cut at " << length);
+        CHECK_MESSAGE(seen.come_back_ms > 0, "cut at " << length);
+    }
+    const auto seen = router.call("POST", "/gallery/k/x", 2s);
+    CHECK(seen.outcome == "answered");
+    CHECK(seen.body == "0123456789");
+    CHECK(router.upstream().requests() == held_answer.size() + 1);
+}
+
+TEST_CASE("chunked_answer_cut_at_each_byte_never_looks_whole") {
+    std::size_t length = 0;
+    cw_routed_call router{cut_after(chunked_answer, length)};
+    for (; length < chunked_answer.size(); ++length) {
+        const auto seen = router.call("POST", "/gallery/k/x", 2s);
+        const bool refused = seen.whole && seen.outcome == "unknown";
+        CHECK_MESSAGE((refused || !seen.whole), "cut at " << length);
+    }
+    const auto seen = router.call("POST", "/gallery/k/x", 2s);
+    CHECK(seen.whole);
+    CHECK(seen.outcome == "answered");
+    CHECK(seen.body == "hello world");
+}
+
+TEST_CASE("long_answer_cut_anywhere_never_looks_whole") {
+    const auto answer = whole_answer(std::string(600'000, 'x'));
+    const auto head = answer.find("\r\n\r\n") + 4;
+    std::size_t length = 0;
+    cw_routed_call router{cut_after(answer, length)};
+    for (const auto cut : {head, head + 1, head + 262'144, head + 300'000, answer.size() - 1}) {
+        length = cut;
+        const auto seen = router.call("POST", "/gallery/k/x", 2s);
+        CHECK_MESSAGE(!seen.whole, "cut at " << cut);
+    }
+    length = answer.size();
+    const auto seen = router.call("POST", "/gallery/k/x", 2s);
+    CHECK(seen.whole);
+    CHECK(seen.body.size() == 600'000);
+}
+
+TEST_CASE("answer_that_is_no_http_is_unknown") {
+    cw_routed_call router{[](const std::string&) {
+        return cw_raw_upstream::reply{"garbage of no protocol\r\n\r\n", false};
+    }};
+    const auto seen = router.call("POST", "/gallery/k/x", 2s);
+    CHECK(seen.outcome == "unknown");
+    CHECK(router.upstream().requests() == 1);
+}
+
+TEST_CASE("answer_sent_twice_never_reaches_another_request") {
+    cw_routed_call router{[](const std::string& request) {
+        const auto answer = whole_answer(target_of(request));
+        return cw_raw_upstream::reply{answer + answer, false};
+    }};
+    for (int i = 0; i < 50; ++i) {
+        const auto target = "/gallery/k" + std::to_string(i) + "/x";
+        const auto seen = router.call("POST", target, 2s);
+        CHECK(seen.outcome == "answered");
+        CHECK(seen.body == target);
+    }
+}
+
+TEST_CASE("answer_that_comes_after_the_deadline_never_reaches_another_request") {
+    int count = 0;
+    cw_routed_call router{[&count](const std::string& request) {
+        const bool late = ++count % 2 == 1;
+        return cw_raw_upstream::reply{whole_answer(target_of(request)), false, late ? 150ms : 0ms};
+    }};
+    for (int i = 0; i < 6; ++i) {
+        const auto target = "/gallery/k" + std::to_string(i) + "/x";
+        const auto seen = router.call("POST", target, 60ms);
+        CHECK(seen.outcome == (i % 2 == 0 ? "unknown" : "answered"));
+        CHECK((seen.outcome == "unknown" || seen.body == target));
+    }
+}
+
+TEST_CASE("caller_that_leaves_has_its_request_cancelled_at_the_upstream") {
+    cw_routed_call router{[](const std::string& request) {
+        return cw_raw_upstream::reply{whole_answer(target_of(request)), false, 3s};
+    }};
+    router.call_and_leave("/gallery/k/x", 50ms);
+    const auto until = std::chrono::steady_clock::now() + 1s;
+    while (router.upstream().cancelled() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(router.upstream().cancelled() == 1);
+    CHECK(router.shared().open_requests == 0);
+}
+
+TEST_CASE("request_read_again_after_a_lost_connection_is_answered_once_it_runs") {
+    int count = 0;
+    cw_routed_call router{[&count](const std::string& request) {
+        return cw_raw_upstream::reply{++count == 1 ? "" : whole_answer(target_of(request)),
+                                      count == 1};
+    }};
+    const auto seen = router.call("GET", "/gallery/k/x", 2s);
+    CHECK(seen.outcome == "answered");
+    CHECK(seen.body == "/gallery/k/x");
+    CHECK(router.upstream().requests() == 2);
+}
+
+TEST_CASE("request_refused_by_the_upstream_after_a_lost_connection_is_unknown") {
+    int count = 0;
+    cw_routed_call router{[&count](const std::string&) {
+        if (++count == 1) {
+            return cw_raw_upstream::reply{"", true};
+        }
+        return cw_raw_upstream::reply{"HTTP/1.1 503 Busy\r\nCuminwinch-Refused: busy\r\n"
+                                      "Content-Length: 0\r\n\r\n",
+                                      false};
+    }};
+    const auto seen = router.call("GET", "/gallery/k/x", 300ms);
+    // The first attempt may have run, so the refusals of the later ones are not the whole truth.
+    CHECK(seen.outcome == "unknown");
+}
--- a/Tests/Routing/cw_attempt_test.cpp
+++ b/Tests/Routing/cw_attempt_test.cpp
@@ -39,6 +39,15 @@
           cw_next_step::report_unknown);
 }
 
+TEST_CASE("request_refused_after_an_attempt_that_may_have_run_is_unknown") {
+    for (const auto result : did_not_run) {
+        CHECK(cw_decide_next(
+                  result,
+                  {.idempotent = true, .may_have_run = true, .attempts = cw_most_owner_attempts}) ==
+              cw_next_step::report_unknown);
+    }
+}
+
 TEST_CASE("retry_without_budget_is_refused_at_once") {
     CHECK(cw_decide_next(cw_attempt_result::not_connected, {.budget_left = false}) ==
           cw_next_step::refuse);
--- /dev/null
+++ b/Tests/Routing/cw_raw_upstream.cpp
@@ -0,0 +1,85 @@
+#include "cw_raw_upstream.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace net = boost::asio;
+using namespace std::chrono_literals;
+
+cw_raw_upstream::cw_raw_upstream(script answer)
+    : acceptor_{context_, {net::ip::make_address("127.0.0.1"), 0}},
+      answer_{std::move(answer)},
+      acceptor_thread_{[this] { accept(); }} {}
+
+cw_raw_upstream::~cw_raw_upstream() {
+    stopping_ = true;
+    // The acceptor waits in a blocking call, which one more connection ends.
+    net::ip::tcp::socket last{context_};
+    boost::system::error_code ignored;
+    last.connect(acceptor_.local_endpoint(), ignored);
+    acceptor_thread_.join();
+    const std::scoped_lock lock{mutex_};
+    threads_.clear();
+}
+
+std::string cw_raw_upstream::address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void cw_raw_upstream::accept() {
+    while (!stopping_) {
+        auto socket = acceptor_.accept();
+        const std::scoped_lock lock{mutex_};
+        threads_.emplace_back(
+            [this, taken = std::move(socket)]() mutable { serve(std::move(taken)); });
+    }
+}
+
+bool cw_raw_upstream::wait(net::ip::tcp::socket& socket, std::chrono::milliseconds length) {
+    const auto until = std::chrono::steady_clock::now() + length;
+    while (std::chrono::steady_clock::now() < until) {
+        char byte = 0;
+        if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            ++cancelled_;
+            return false;
+        }
+        std::this_thread::sleep_for(1ms);
+    }
+    return true;
+}
+
+void cw_raw_upstream::serve(net::ip::tcp::socket socket) {
+    std::string pending;
+    boost::system::error_code failure;
+    // Poll for the end, so that a kept connection does not outlive the test.
+    socket.non_blocking(false);
+    const timeval patience{0, 50'000};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    while (!stopping_) {
+        const auto end = pending.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            std::array<char, 4096> part{};
+            const auto size = ::recv(socket.native_handle(), part.data(), part.size(), 0);
+            if (size == 0) {
+                return;
+            }
+            if (size > 0) {
+                pending.append(part.data(), static_cast<std::size_t>(size));
+            }
+            continue;
+        }
+        // Requests of these tests have bodies only where they state no length that matters.
+        const auto request = std::exchange(pending, {});
+        ++requests_;
+        const auto due = answer_(request);
+        if (!wait(socket, due.delay)) {
+            return;
+        }
+        net::write(socket, net::buffer(due.bytes), failure);
+        if (failure || due.ends) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Routing/cw_routed_call.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "cw_raw_upstream.h"
+#include "cw_router_shared.h"
+#include "cw_traffic_thread.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+/// What a caller sees of one answer.
+struct cw_seen_answer {
+    /// False when the connection ended before the announced end.
+    bool whole = false;
+    unsigned status = 0;
+    std::string outcome;
+    std::string body;
+    std::int64_t come_back_ms = 0;
+};
+
+/// A traffic thread of the router in this process, with one raw upstream that owns all keys of the
+/// service "gallery".
+class cw_routed_call {
+public:
+    explicit cw_routed_call(cw_raw_upstream::script answer);
+    ~cw_routed_call();
+
+    /// Sends one request on a connection of its own.
+    [[nodiscard]] cw_seen_answer call(const std::string& method, const std::string& target,
+                                      std::chrono::milliseconds deadline);
+    /// Sends one request and goes away after a while.
+    void call_and_leave(const std::string& target, std::chrono::milliseconds after);
+
+    [[nodiscard]] cw_raw_upstream& upstream() { return *upstream_; }
+    [[nodiscard]] cw_router_shared& shared() { return shared_; }
+
+private:
+    std::unique_ptr<cw_raw_upstream> upstream_;
+    cw_router_shared shared_;
+    cw_address listen_;
+    std::unique_ptr<cw_traffic_thread> thread_;
+};
