Send changed parts of a configuration only; pace retries after an outage

Cause: a keeper fetched whole configurations from its peers, and after an outage of the store all watches were asked again every 100 ms. A fresh gate refused a crowd on a guessed latency (18 to 20 of the first requests of bench/baseline.sh), and opened to many slots only with the square of answers. Ruled out: the disconnect watch as the cause of those refusals. Change: cw_config_delta names the parts that the receiver holds by digest; cw_backoff; a gate refuses nothing on a guess and doubles until its first refusal; an owner's free place is taken without building a list.

--- a/Source/cw_config_source.cpp
+++ b/Source/cw_config_source.cpp
@@ -43,6 +43,53 @@
     return cw_read_config_bundle(nlohmann::json::parse(text, nullptr, false));
 }
 
+nlohmann::json cw_config_delta(const std::vector<cw_config_file>& files, std::uint64_t version,
+                               const std::set<std::string>& held) {
+    auto list = nlohmann::json::array();
+    for (const auto& file : files) {
+        const auto digest = cw_config_digest(file.text);
+        if (held.contains(digest)) {
+            list.push_back({file.name, digest, nullptr});
+        } else {
+            list.push_back({file.name, digest, file.text});
+        }
+    }
+    return {{"parts", std::move(list)}, {"config_version", version}};
+}
+
+cw_result<cw_loaded_config> cw_parse_config_delta(std::string_view text,
+                                                  const std::vector<cw_config_file>& held) {
+    std::map<std::string, std::string> known;
+    for (const auto& file : held) {
+        known[cw_config_digest(file.text)] = file.text;
+    }
+    const auto delta = nlohmann::json::parse(text, nullptr, false);
+    // A keeper of the release before sends whole bundles.
+    if (delta.is_object() && delta.contains("files")) {
+        return cw_read_config_bundle(delta);
+    }
+    try {
+        std::vector<cw_config_file> files;
+        for (const auto& item : delta.at("parts")) {
+            const auto name = item.at(0).get<std::string>();
+            const auto digest = item.at(1).get<std::string>();
+            if (!item.at(2).is_null()) {
+                known[digest] = item.at(2).get<std::string>();
+            }
+            const auto found = known.find(digest);
+            if (found == known.end() || cw_config_digest(found->second) != digest) {
+                return tl::unexpected(cw_error{"parse config delta", "keeper",
+                                               "part " + name + " is missing or damaged"});
+            }
+            files.push_back({name, found->second});
+        }
+        return cw_assemble_config(std::move(files),
+                                  delta.at("config_version").get<std::uint64_t>());
+    } catch (const nlohmann::json::exception& failure) {
+        return tl::unexpected(cw_error{"parse config delta", "keeper", failure.what()});
+    }
+}
+
 boost::asio::awaitable<cw_result<cw_loaded_config>> cw_config_source::load(cw_config_head head,
                                                                            cw_time_point deadline) {
     std::map<std::string, std::string> kept;
--- a/Source/cw_config_source.h
+++ b/Source/cw_config_source.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,13 @@
 [[nodiscard]] nlohmann::json cw_config_bundle(const std::vector<cw_config_file>& files,
                                               std::uint64_t version);
 [[nodiscard]] cw_result<cw_loaded_config> cw_parse_config_bundle(std::string_view text);
+/// The same without the texts of files that the receiver holds; it names them by digest.
+[[nodiscard]] nlohmann::json cw_config_delta(const std::vector<cw_config_file>& files,
+                                             std::uint64_t version,
+                                             const std::set<std::string>& held);
+/// Completes a delta with the files held, or says which one is missing.
+[[nodiscard]] cw_result<cw_loaded_config>
+cw_parse_config_delta(std::string_view text, const std::vector<cw_config_file>& held);
 [[nodiscard]] cw_result<cw_loaded_config> cw_read_config_bundle(const nlohmann::json& bundle);
 
 /// Parses the files as one configuration of the given version.
--- a/Source/cw_keeper_io.cpp
+++ b/Source/cw_keeper_io.cpp
@@ -1,9 +1,11 @@
 #include "cw_keeper_io.h"
 
 #include "cw_async.h"
+#include "cw_backoff.h"
 #include "cw_caf_messages.h"
 #include "cw_host_list.h"
 #include "cw_kernel.h"
+#include "cw_key_hash.h"
 #include "cw_lease_codec.h"
 #include "cw_peer_codec.h"
 #include "cw_query.h"
@@ -28,7 +30,8 @@
 constexpr auto store_timeout = 1s;
 constexpr auto config_timeout = 5s;
 constexpr auto watch_wait = 10s;
-constexpr auto retry_pause = 100ms;
+constexpr std::chrono::milliseconds retry_pause = 100ms;
+constexpr std::chrono::milliseconds longest_retry_pause = 1s;
 constexpr auto host_poll = 500ms;
 constexpr auto longest_wait = 20s;
 constexpr std::size_t largest_datagram = 65'000;
@@ -216,13 +219,17 @@
 
 net::awaitable<void> cw_keeper_io::watch(std::string key) {
     std::uint64_t known = 0;
+    cw_backoff backoff{retry_pause, longest_retry_pause, incarnation_ ^ cw_key_hash(key)};
     while (!stopping_ && wanted_keys_.contains(key)) {
         const auto value = co_await store_.watch(key, known, watch_wait);
-        if (value && value->version > known) {
+        if (!value) {
+            co_await pause(backoff.next());
+            continue;
+        }
+        backoff.reset();
+        if (value->version > known) {
             known = value->version;
             report(key, *value, cw_time_point::min());
-        } else if (!value) {
-            co_await pause(retry_pause);
         }
     }
     watched_.erase(key);
@@ -231,12 +238,14 @@
 net::awaitable<void> cw_keeper_io::watch_config() {
     const std::string key{cw_config_head_key};
     std::uint64_t known = 0;
+    cw_backoff backoff{retry_pause, longest_retry_pause, incarnation_};
     while (!stopping_ && wanted_keys_.contains(key)) {
         const auto value = co_await store_.watch(key, known, watch_wait);
         if (!value) {
-            co_await pause(retry_pause);
+            co_await pause(backoff.next());
             continue;
         }
+        backoff.reset();
         if (value->version <= known) {
             continue;
         }
@@ -280,14 +289,21 @@
     if (known == addresses_.end()) {
         co_return;
     }
-    cw_http_request request{http::verb::get, "/v1/config", 11};
+    // Only what this host lacks travels. Another version may come into force meanwhile.
+    const auto present = files_;
+    auto held = nlohmann::json::array();
+    for (const auto& file : present) {
+        held.push_back(cw_config_digest(file.text));
+    }
+    cw_http_request request{http::verb::post, "/v1/config", 11};
     request.set(http::field::host, known->second);
+    request.body() = held.dump();
     const auto response =
         co_await http_.request(known->second, std::move(request), now() + config_timeout);
     if (!response || response->result() != http::status::ok) {
         co_return;
     }
-    const auto loaded = cw_parse_config_bundle(response->body());
+    const auto loaded = cw_parse_config_delta(response->body(), present);
     if (loaded) {
         take_config(*loaded);
     } else {
@@ -355,6 +371,21 @@
     co_return cw_make_response(http::status::ok, routes_);
 }
 
+cw_http_response cw_keeper_io::serve_config(const cw_http_request& request) const {
+    if (request.method() != http::verb::post) {
+        return cw_make_response(http::status::ok, cw_config_bundle(files_, config_version_).dump());
+    }
+    const auto held = nlohmann::json::parse(request.body(), nullptr, false);
+    std::set<std::string> digests;
+    for (const auto& digest : held.is_array() ? held : nlohmann::json::array()) {
+        if (digest.is_string()) {
+            digests.insert(digest.get<std::string>());
+        }
+    }
+    return cw_make_response(http::status::ok,
+                            cw_config_delta(files_, config_version_, digests).dump());
+}
+
 net::awaitable<cw_http_response> cw_keeper_io::serve(cw_http_request request) {
     const std::string target{request.target()};
     const auto path = cw_path_of(target);
@@ -362,8 +393,7 @@
         co_return co_await serve_routes(target);
     }
     if (path == "/v1/config") {
-        co_return cw_make_response(http::status::ok,
-                                   cw_config_bundle(files_, config_version_).dump());
+        co_return serve_config(request);
     }
     if (path == "/v1/status") {
         co_return cw_make_response(http::status::ok, status());
--- a/Source/cw_upstream_chooser.cpp
+++ b/Source/cw_upstream_chooser.cpp
@@ -61,6 +61,7 @@
     std::stable_sort(fit.begin(), fit.end(),
                      [](const auto& left, const auto& right) { return left.wait < right.wait; });
     std::vector<std::string> order;
+    order.reserve(pool.addresses.size());
     for (auto& entry : fit) {
         order.push_back(std::move(entry.address));
     }
@@ -87,8 +88,17 @@
 
 net::awaitable<bool> cw_upstream_chooser::choose(cw_proxy_exchange& current, cw_gate_slot& slot) {
     const auto& service = *current.route.service;
-    const auto name = current.route.slice != nullptr ? current.route.address : service.name;
+    const auto& name = current.route.slice != nullptr ? current.route.address : service.name;
     auto& queue = traffic_.gates.queue(name);
+    if (current.route.slice != nullptr && queue.empty()) {
+        // Most requests find a place at the owner of their key at once.
+        auto& owner = traffic_.gates.gate(current.route.address, service.slots);
+        if (const auto at = now(); owner.may_send(at)) {
+            current.address = current.route.address;
+            slot = cw_gate_slot{owner, queue, at};
+            co_return true;
+        }
+    }
     auto addresses = candidates(current, now());
     if (addresses.empty()) {
         current.reason = "the service has no upstream";
--- a/Source/cw_upstream_gate.cpp
+++ b/Source/cw_upstream_gate.cpp
@@ -48,7 +48,8 @@
         failures_ = 0;
         ejections_ = 0;
         backoff_ = {};
-        limit_ = std::min(limit_ + 1.0 / limit_, static_cast<double>(options_.most));
+        limit_ = std::min(limit_ + (slow_start_ ? 1.0 : 1.0 / limit_),
+                          static_cast<double>(options_.most));
         latency_ = latency_.count() == 0
                        ? latency
                        : latency_ + std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -71,6 +72,7 @@
 }
 
 void cw_upstream_gate::on_busy(cw_time_point now) {
+    slow_start_ = false;
     // Refusals of requests that were sent together count once.
     if (now >= decreased_at_ + latency(now)) {
         limit_ = std::max(1.0, limit_ / 2.0);
@@ -103,8 +105,12 @@
 
 std::chrono::nanoseconds cw_upstream_gate::expected_wait(std::size_t waiting,
                                                          cw_time_point now) const {
+    const std::chrono::nanoseconds away = backoff_until_ - now;
+    // Before the first answer nothing speaks against waiting.
+    if (latency_.count() == 0) {
+        return std::max(away, std::chrono::nanoseconds{0});
+    }
     const auto limit = options_.adaptive ? limit_ : static_cast<double>(options_.most);
     const auto queued = latency(now) * (static_cast<double>(waiting) + 1.0) / std::max(1.0, limit);
-    return std::max(std::chrono::duration_cast<std::chrono::nanoseconds>(queued),
-                    std::chrono::nanoseconds{backoff_until_ - now});
+    return std::max(std::chrono::duration_cast<std::chrono::nanoseconds>(queued), away);
 }
--- a/Source/cw_upstream_gate.h
+++ b/Source/cw_upstream_gate.h
@@ -19,9 +19,9 @@
 /// Decides how many requests one traffic thread has in flight at one upstream.
 ///
 /// Many threads of many routers share the upstream's slots without telling each other: each finds
-/// its share by the upstream's answers. The limit rises by about one for each round of answers and
-/// halves with a refusal, which also keeps the thread away for a while. A limit starts at one, so a
-/// cold upstream is filled slowly.
+/// its share by the upstream's answers. A limit starts at one, so a cold upstream is not met by a
+/// crowd, and rises with each answer until the first refusal; from then on by about one for each
+/// round of answers. A refusal halves it and keeps the thread away for a while.
 class cw_upstream_gate {
 public:
     cw_upstream_gate(cw_gate_options options, std::uint64_t seed);
@@ -55,6 +55,7 @@
     cw_gate_options options_;
     std::minstd_rand engine_;
     double limit_ = 1.0;
+    bool slow_start_ = true;
     std::uint32_t in_flight_ = 0;
     std::chrono::nanoseconds latency_{0};
     cw_time_point answered_at_{};
--- /dev/null
+++ b/Tests/Config/cw_config_delta_test.cpp
@@ -0,0 +1,77 @@
+#include "cw_backoff.h"
+#include "cw_config_head.h"
+#include "cw_config_source.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two files, of which the receiver holds an older second one.
+struct changed_folder {
+    static std::string firm(const std::string& name) {
+        return "[[firm]]\nname = \"" + name + "\"\n[[domain]]\nname = \"" + name +
+               "-1\"\nfirm = \"" + name + "\"\nregion = \"r\"\n[[service]]\nname = \"" + name +
+               "-shop\"\nfirm = \"" + name + "\"\nprefix = \"/" + name + "/\"\n";
+    }
+
+    std::vector<cw_config_file> present{{"a.toml", firm("alpha")}, {"b.toml", firm("beta")}};
+    std::vector<cw_config_file> held{{"a.toml", firm("alpha")}, {"b.toml", firm("older")}};
+
+    std::set<std::string> digests() const {
+        std::set<std::string> result;
+        for (const auto& file : held) {
+            result.insert(cw_config_digest(file.text));
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(changed_folder, "delta_carries_changed_files_only_and_is_completed") {
+    const auto text = cw_config_delta(present, 7, digests()).dump();
+    CHECK(text.find("alpha") == std::string::npos);
+    CHECK(text.find("beta") != std::string::npos);
+    const auto loaded = cw_parse_config_delta(text, held);
+    REQUIRE_MESSAGE(loaded, loaded.error().text());
+    CHECK(loaded->config->version == 7);
+    REQUIRE(loaded->files.size() == 2);
+    CHECK(loaded->files[0].text == present[0].text);
+    CHECK(loaded->files[1].text == present[1].text);
+}
+
+TEST_CASE_FIXTURE(changed_folder, "delta_whose_base_is_gone_is_refused_whole") {
+    const auto text = cw_config_delta(present, 7, digests()).dump();
+    const auto loaded = cw_parse_config_delta(text, {});
+    REQUIRE_FALSE(loaded);
+    CHECK(loaded.error().text().find("a.toml") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(changed_folder, "delta_damaged_on_the_way_is_refused_whole") {
+    auto delta = cw_config_delta(present, 7, digests());
+    delta["parts"][1][2] = firm("gamma");
+    CHECK_FALSE(cw_parse_config_delta(delta.dump(), held));
+    CHECK_FALSE(cw_parse_config_delta("no JSON", held));
+    CHECK_FALSE(cw_parse_config_delta("{}", held));
+}
+
+TEST_CASE_FIXTURE(changed_folder, "bundle_of_an_older_keeper_is_read") {
+    const auto loaded = cw_parse_config_delta(cw_config_bundle(present, 6).dump(), held);
+    REQUIRE_MESSAGE(loaded, loaded.error().text());
+    CHECK(loaded->config->version == 6);
+}
+
+TEST_CASE("backoff_doubles_within_bounds_and_starts_anew_after_success") {
+    cw_backoff backoff{100ms, 1s, 5};
+    std::chrono::milliseconds last{0};
+    for (int i = 0; i < 10; ++i) {
+        last = backoff.next();
+        CHECK(last <= 1s);
+    }
+    CHECK(last >= 500ms);
+    backoff.reset();
+    CHECK(backoff.next() <= 100ms);
+}
--- a/Tests/Routing/cw_upstream_gate_test.cpp
+++ b/Tests/Routing/cw_upstream_gate_test.cpp
@@ -84,6 +84,20 @@
     CHECK(gate.latency(now + 10s) < 5ms);
 }
 
+TEST_CASE_FIXTURE(used_gate, "wait_before_the_first_answer_is_not_held_against_a_crowd") {
+    CHECK(gate.expected_wait(500, now) == 0ms);
+}
+
+TEST_CASE("gate_unrefused_opens_to_many_slots_within_as_many_answers") {
+    cw_upstream_gate gate{{1'000, true}, 7};
+    const cw_time_point now{std::chrono::hours{1}};
+    for (int i = 0; i < 1'000; ++i) {
+        gate.on_sent(now);
+        gate.on_result(cw_attempt_result::answered, 1ms, now);
+    }
+    CHECK(gate.limit() == 1'000.0);
+}
+
 TEST_CASE_FIXTURE(used_gate, "wait_expected_grows_with_the_queue") {
     answer(50);
     CHECK(gate.expected_wait(30, now) > gate.expected_wait(3, now));
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -96,9 +96,9 @@
 line "control memory, MB" "cw_keeper_context" 256 %.1f "$mem_base / 1024 + $mem_per * P / 1024 + 2 * $(base table-memory) / 1e6 + 2 * $(per table-memory) * 8 * U / $services / 1e6"
 line "renewals and promises, B/s" "cw_lease_keeper, cw_membership, rings of three" 4096 %.0f "$wire_base + $wire_per * P"
 line "one ring a domain, promises, B/s" "as today, all-to-all" 4096 %.0f "$asks_per_s * (E / $domains - 1) * ($ask + $promise)"
-line "load reports, B/s" "cw_balancer, to every keeper of the firm" 4096 %.0f "(E / $domains - 1) * 4 * $(calc "$(base load-report) + 48 * $(per load-report)" %.0f) / 5"
-line "configuration, B/s, changed part only" "cw_relay, fanout 6" 4096 %.0f "$change_rate * 7 * ($(base config-bytes) + 6 * $(per config-bytes))"
-line "configuration, B/s, whole as today" "cw_keeper_io::fetch_config" 4096 %.0f "$change_rate * 7 * ($(base config-bytes) + $services * $(per config-bytes))"
+line "load reports with hot keys, B/s" "cw_balancer, to every keeper of the firm" 4096 %.0f "(E / $domains - 1) * 4 * ($(base load-report) + $(per load-report) * 8 * U / $services) / 5"
+line "configuration, B/s, changed part only" "cw_relay, fanout 6, cw_config_delta" 4096 %.0f "$change_rate * 7 * ($(base config-delta) + $services * $(per config-delta))"
+line "configuration, B/s, whole bundles (the way before)" "cw_config_bundle" 4096 %.0f "$change_rate * 7 * ($(base config-bytes) + $services * $(per config-bytes))"
 line "table change, bytes to each keeper" "whole table by watch (cw_keeper_io)" - %.0f "$(base table-stored) + $(per table-stored) * 8 * U / $services"
 cat <<EOF
 
@@ -120,9 +120,11 @@
 $(awk -F, '$1 == "table-lookup" && $2 == 80000 {print $4}' "$rows/slopes.csv") ns among 80,000 slices, hashing included. A table of the store's megabyte holds
 $(calc "1000000 / $(per table-stored)" %.0f) slices, or $(calc "1000000 / $(per table-stored) / $slices_per_upstream" %.0f) upstreams a service; beyond that a table needs chunks (not built).
 
-The hottest 340 keys: \`cw_slice_table::moved\` and \`cw_planner\` carry a slice of one value, and a load report names the 48 busiest slices
-($(calc "$(base load-report) + 48 * $(per load-report)" %.0f) B). **Missing:** routers do not yet count single keys (a bounded heavy-hitter sketch, merged per domain), so a hot key moves
-only with its slice. At 340 keys in 3 minutes over $domains domains a domain sees 20 changes in that time, one table write each 9 s.
+The hottest 340 keys: each traffic thread counts keys in 128 counters a service (\`cw_heavy_hitters\`, Space-Saving), the planner makes a hot key a
+slice of one value, and a load report names up to 12 of them beside the rates of all slices ($(calc "$(base load-report) + 328 * $(per load-report)" %.0f) B for a table of 328 slices).
+At 340 keys in 3 minutes over $domains domains a domain sees 20 changes in that time, one table write each 9 s. A move takes at least the
+5 s between two reports; \`cw_imbalance_test\` settles ten upstreams under Zipf load within 10 s, and after all hot keys have changed within two
+minutes. The table is kept below 16 slices an owner.
 
 ## Configuration within 13 s
 
@@ -162,7 +164,8 @@
 | a rack: up to a ring's three entry hosts and some upstreams | the ring's leases lapse; \`release\` services move after about 0.9 s, \`hold\` services wait for a new keeper | deputies; a new ring member |
 | a domain | its slices of \`release\` services in one write a service | cw_releaser |
 | regions apart for minutes | nothing, while rings lie within a domain; routers refuse what lies beyond | cw_tenure |
-| the store back after an outage | each watch is asked again after 100 ms: $(calc "470 * 6 / 0.1" %.0f) reads/s at 470 hosts, **over** | to be built: a random pause up to the watch's length, and fewer watches by relay |
+| the store back after an outage | each watch is asked again after 0.5 to 1 s (cw_backoff): $(calc "470 * 6 / 0.75" %.0f) reads/s at 470 hosts, **over** ($(calc "470 * 6 / 0.1" %.0f) before) | fewer watches by relay, to be built |
+| a request that crashes upstreams | 60 B to each keeper of the firm, three times a crash: $(calc "470 * 3 * 60 / 1000" %.0f) KB from one host at 470 | cw_crash_relay |
 
 ## What today's code does not carry, in order
 
@@ -171,7 +174,8 @@
    proves the end.
 2. **One ring a domain.** Rings of three by rendezvous over the domain's hosts, each with a share of its upstreams.
 3. **Watches and whole tables.** Tables as topics of cw_relay, and changes as moves rather than whole tables.
-4. **Load reports to everyone.** Sums per domain by its first host, then among first hosts.
-5. **Whole configurations between keepers.** Parts are named by digest already; a fetch should name those it holds.
-6. **Hot keys by sketch**, tables in chunks, pauses after an outage.
+4. **Load reports to everyone.** Sums per domain by its first host, then among first hosts; with a front for each upstream
+   (docs/ROUTING.md) only its front reports.
+5. **Connections and slots of an upstream over hundreds of routers.** A front for each upstream (docs/ROUTING.md).
+6. **Tables in chunks.**
 EOF
--- a/bench/cw_slopes.cpp
+++ b/bench/cw_slopes.cpp
@@ -1,7 +1,9 @@
 /// Measures the slopes that docs/CAPACITY.md is worked out from: one CSV row per slope and size, on
 /// standard output.
 
+#include "cw_config_head.h"
 #include "cw_config_parser.h"
+#include "cw_config_source.h"
 #include "cw_keeper_core.h"
 #include "cw_key_hash.h"
 #include "cw_lease_codec.h"
@@ -15,6 +17,7 @@
 #include <cstdio>
 #include <ctime>
 #include <malloc.h>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -227,6 +230,14 @@
             files.push_back({firm + ".toml", text});
         }
         row("config-bytes", services, "bytes", static_cast<double>(bytes));
+        // One firm's file has changed; the digests of the others travel both ways.
+        std::set<std::string> held;
+        std::size_t asked = 0;
+        for (std::size_t i = 1; i < files.size(); ++i) {
+            asked += held.insert(cw_config_digest(files[i].text)).first->size();
+        }
+        row("config-delta", services, "bytes",
+            static_cast<double>(asked + cw_config_delta(files, 7, held).dump().size()));
         row("config-parse", services, "us",
             1e6 * least_seconds([&] { (void)cw_config_parser::parse(files); }));
     }
