--- a/Source/cw_attempt_runner.cpp
+++ b/Source/cw_attempt_runner.cpp
@@ -3,7 +3,6 @@
 #include "cw_address.h"
 #include "cw_async.h"
 #include "cw_body_relay.h"
-#include "cw_disconnect_watch.h"
 #include "cw_header_names.h"
 #include "cw_hop_headers.h"
 #include "cw_proxy_exchange.h"
@@ -120,23 +119,20 @@
 
 net::awaitable<cw_attempt_result> cw_attempt_runner::send_and_receive(cw_proxy_exchange& current,
                                                                       stream& upstream) {
-    const cw_deadline_sweeper::guard waiting{traffic_.sweeper, upstream, current.deadline};
+    cw_deadline_sweeper::guard waiting{traffic_.sweeper, upstream, current.deadline};
     if (current.streamed_body != nullptr) {
         current.body_consumed = true;
         if (!co_await stream_request(current, upstream)) {
             co_return cw_attempt_result::connection_lost;
         }
-        co_return co_await receive(current, upstream, nullptr);
+        co_return co_await receive(current, upstream, waiting);
     }
-    cw_disconnect_watch watch{caller_, [&upstream] {
-                                  boost::system::error_code ignored;
-                                  upstream.cancel(ignored);
-                              }};
+    waiting.watch(caller_);
     auto result = cw_attempt_result::answered;
     if (co_await send_held(current, upstream, result)) {
-        result = co_await receive(current, upstream, &watch);
+        result = co_await receive(current, upstream, waiting);
     }
-    co_return watch.is_gone() ? cw_attempt_result::caller_left : result;
+    co_return waiting.has_caller_left() ? cw_attempt_result::caller_left : result;
 }
 
 net::awaitable<bool> cw_attempt_runner::send_held(cw_proxy_exchange& current, stream& upstream,
@@ -188,7 +184,7 @@
 
 net::awaitable<cw_attempt_result> cw_attempt_runner::receive(cw_proxy_exchange& current,
                                                              stream& upstream,
-                                                             cw_disconnect_watch* watch) {
+                                                             cw_deadline_sweeper::guard& waiting) {
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> head;
     head.body_limit(boost::none);
@@ -202,9 +198,7 @@
     const auto length = head.content_length();
     const bool has_body = !head.is_done();
     if (has_body && (!length || *length > largest_held_body)) {
-        if (watch != nullptr) {
-            watch->stop();
-        }
+        waiting.unwatch();
         co_return co_await stream_answer(current, upstream, buffer, head);
     }
     if (has_body) {
--- a/Source/cw_attempt_runner.h
+++ b/Source/cw_attempt_runner.h
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 
-class cw_disconnect_watch;
 struct cw_proxy_exchange;
 struct cw_traffic_context;
 
@@ -42,7 +41,7 @@
                                            cw_attempt_result& result);
     boost::asio::awaitable<bool> stream_request(cw_proxy_exchange& current, stream& upstream);
     boost::asio::awaitable<cw_attempt_result> receive(cw_proxy_exchange& current, stream& upstream,
-                                                      cw_disconnect_watch* watch);
+                                                      cw_deadline_sweeper::guard& waiting);
     template <typename Parser>
     boost::asio::awaitable<cw_attempt_result>
     stream_answer(cw_proxy_exchange& current, stream& upstream, boost::beast::flat_buffer& buffer,
--- a/Source/cw_deadline_sweeper.cpp
+++ b/Source/cw_deadline_sweeper.cpp
@@ -2,13 +2,26 @@
 
 #include "cw_async.h"
 
+#include <sys/socket.h>
+
 namespace {
+
 using namespace std::chrono_literals;
+
 constexpr auto sweep_interval = 4ms;
+/// Sweeps between two looks at the callers of requests that still wait.
+constexpr int sweeps_per_look = 8;
+
+bool has_ended(boost::asio::ip::tcp::socket& socket) {
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace
 
 boost::asio::awaitable<void> cw_deadline_sweeper::run() {
-    while (!closed_) {
+    for (int sweep = 1; !closed_; ++sweep) {
         timer_.expires_after(sweep_interval);
         boost::system::error_code failure;
         co_await timer_.async_wait(cw_into(failure));
@@ -19,6 +32,20 @@
                 waiting.socket->cancel(failure);
             }
         }
+        if (sweep % sweeps_per_look == 0) {
+            look_after_callers();
+        }
+    }
+}
+
+void cw_deadline_sweeper::look_after_callers() {
+    for (auto& waiting : entries_) {
+        if (waiting.caller != nullptr && has_ended(*waiting.caller)) {
+            waiting.caller = nullptr;
+            waiting.caller_left = true;
+            boost::system::error_code ignored;
+            waiting.socket->cancel(ignored);
+        }
     }
 }
 
--- a/Source/cw_deadline_sweeper.h
+++ b/Source/cw_deadline_sweeper.h
@@ -8,16 +8,20 @@
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 
-/// Cancels socket operations that have passed their deadlines, for all connections of one thread.
+/// Cancels socket operations that have passed their deadlines, or whose caller has gone away, for
+/// all connections of one thread.
 ///
-/// A timer per operation costs more than the operation itself; one sweep every few milliseconds
-/// over the operations that wait costs next to nothing and is exact enough for deadlines of
-/// requests.
+/// A timer per operation costs more than the operation itself, and so does a wait for the caller's
+/// end; one sweep every few milliseconds over the operations that wait costs next to nothing and is
+/// exact enough for requests.
 class cw_deadline_sweeper {
     struct entry {
         boost::asio::ip::tcp::socket* socket;
         cw_time_point deadline;
         bool fired;
+        /// The caller's connection, while its end makes the operation pointless.
+        boost::asio::ip::tcp::socket* caller;
+        bool caller_left;
     };
 
 public:
@@ -30,15 +34,22 @@
         guard(cw_deadline_sweeper& sweeper, boost::asio::ip::tcp::socket& socket,
               cw_time_point deadline)
             : entries_{sweeper.entries_},
-              place_{entries_.insert(entries_.end(), entry{&socket, deadline, false})} {}
+              place_{entries_.insert(entries_.end(),
+                                     entry{&socket, deadline, false, nullptr, false})} {}
         ~guard() { entries_.erase(place_); }
         guard(const guard&) = delete;
         guard& operator=(const guard&) = delete;
 
         /// Moves the deadline, for the next of several operations.
         void extend(cw_time_point deadline) { place_->deadline = deadline; }
+        /// Cancels also when the caller goes away. Bytes that it sends meanwhile (a pipelined
+        /// request) are left alone.
+        void watch(boost::asio::ip::tcp::socket& caller) { place_->caller = &caller; }
+        void unwatch() { place_->caller = nullptr; }
         /// True when the deadline passed and the operation was cancelled.
         [[nodiscard]] bool has_fired() const { return place_->fired; }
+        /// True when the caller went away and the operation was cancelled.
+        [[nodiscard]] bool has_caller_left() const { return place_->caller_left; }
 
     private:
         std::list<entry>& entries_;
@@ -51,6 +62,8 @@
     void close();
 
 private:
+    void look_after_callers();
+
     boost::asio::steady_timer timer_;
     std::list<entry> entries_;
     bool closed_ = false;
