--- a/Tests/Estate/demo.sh
+++ b/Tests/Estate/demo.sh
@@ -7,7 +7,6 @@
 ESTATE_LOGS=$(mktemp -d)
 . "$here/estate.sh"
 results=$(mktemp -d)
-failed=0
 
 # deploy FIRM KEYED KEYED UNKEYED SLOTS DOMAIN...: the upstreams and entry hosts of one firm.
 deploy() {
@@ -35,7 +34,7 @@
     loads+=($!)
 }
 
-field() { sed -n "s/^ *\"$2\": \([0-9.]*\),*$/\1/p" "$results/$1"; }
+field() { estate_field "$results/$1" "$2"; }
 
 echo "Starting both firms on stand-ins; logs are in memory only."
 estate_platform
--- a/Tests/Estate/estate.sh
+++ b/Tests/Estate/estate.sh
@@ -10,6 +10,17 @@
 declare -A ESTATE_ADDRESS=()
 ESTATE_NEXT_PORT=$((ESTATE_BASE + 1))
 ESTATE_ROUTERS=()
+failed=0
+
+# check NAME CONDITION...: prints whether a test command holds, and remembers in `failed` if it does not.
+check() {
+    local name=$1
+    shift
+    if "$@"; then echo "holds: $name"; else echo "FAILS: $name"; failed=1; fi
+}
+
+# estate_field FILE NAME: a figure of a report of the load tool.
+estate_field() { sed -n "s/^ *\"$2\": \([0-9.]*\),*$/\1/p" "$1"; }
 
 estate_end() {
     local name
--- a/Tests/Estate/failures.sh
+++ b/Tests/Estate/failures.sh
@@ -10,9 +10,8 @@
 . "$here/estate.sh"
 outage=${OUTAGE_SECONDS:-8}
 results=$(mktemp -d)
-failed=0
 
-field() { sed -n "s/^ *\"$1\": \([0-9.]*\),*$/\1/p" "$results/load"; }
+field() { estate_field "$results/load" "$1"; }
 
 load_start() {
     "$ESTATE_BIN/cuminwinch-load" --targets "$(estate_routers)" --platform "$PLATFORM" \
--- a/Tests/Estate/imbalance.sh
+++ b/Tests/Estate/imbalance.sh
@@ -8,9 +8,8 @@
 . "$here/estate.sh"
 results=$(mktemp -d)
 settle_seconds=${SETTLE_SECONDS:-25}
-failed=0
 
-field() { sed -n "s/^ *\"$2\": \([0-9.]*\),*$/\1/p" "$results/$1"; }
+field() { estate_field "$results/$1" "$2"; }
 
 # load NAME SECONDS HOTTEST-KEY
 load() {
--- a/Tests/Ownership/cw_ownership_bench.cpp
+++ b/Tests/Ownership/cw_ownership_bench.cpp
@@ -411,48 +411,6 @@
     });
 }
 
-void cw_ownership_bench::kill(const std::string& node) {
-    if (const auto keeper = keepers_.find(node); keeper != keepers_.end()) {
-        keeper->second.alive = false;
-        return;
-    }
-    upstreams_.at(node).alive = false;
-}
-
-void cw_ownership_bench::freeze(const std::string& node, std::chrono::milliseconds duration) {
-    if (const auto keeper = keepers_.find(node); keeper != keepers_.end()) {
-        keeper->second.frozen_until = now_ + duration;
-        return;
-    }
-    upstreams_.at(node).frozen_until = now_ + duration;
-}
-
-void cw_ownership_bench::restart(const std::string& node) {
-    if (keepers_.contains(node)) {
-        start_keeper(node);
-        return;
-    }
-    auto& upstream = upstreams_.at(node);
-    upstream.alive = true;
-    upstream.frozen_until = {};
-    upstream.run = ++order_;
-    // The monotonic clock of a host that was started again has nothing to do with its earlier one.
-    upstream.clock = random_clock();
-    upstream.holder = std::make_unique<cw_lease_holder>(++order_, options_.checks_fences);
-}
-
-void cw_ownership_bench::stop_keeper(const std::string& keeper) {
-    deliver(keeper, keepers_.at(keeper).run, cw_stop_event{});
-}
-
-void cw_ownership_bench::drain(const std::string& upstream) {
-    upstreams_.at(upstream).host.leaving = true;
-}
-
-void cw_ownership_bench::undrain(const std::string& upstream) {
-    upstreams_.at(upstream).host.leaving = false;
-}
-
 std::vector<std::string> cw_ownership_bench::keeper_names() const {
     std::vector<std::string> names;
     for (const auto& [name, node] : keepers_) {
--- a/Tests/Routing/crash.sh
+++ b/Tests/Routing/crash.sh
@@ -5,16 +5,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 ESTATE_BIN=$1
 ESTATE_BASE=${ESTATE_BASE:-25200}
-ESTATE_LOGS=$(mktemp -d)
 . "$here/../Estate/estate.sh"
 work=$(mktemp -d)
-failed=0
-
-check() {
-    local name=$1
-    shift
-    if "$@"; then echo "holds: $name"; else echo "FAILS: $name"; failed=1; fi
-}
 
 dead() {
     local count=0 name
@@ -52,7 +44,7 @@
 done
 wait "$load"
 check "the load of the other callers found no wrong outcome" [ $? -eq 0 ]
-field() { sed -n "s/^ *\"$1\": \([0-9.]*\),*$/\1/p" "$work/load"; }
+field() { estate_field "$work/load" "$1"; }
 sort "$work/answers" | uniq -c
 check "at most 3 galleries died in 36 tries through 4 routers ($(dead gallery))" [ "$(dead gallery)" -le 3 ]
 check "the request was then refused as not run" [ "$(tail -1 "$work/answers")" = "503 did-not-run" ]
--- a/Tests/Routing/streams.sh
+++ b/Tests/Routing/streams.sh
@@ -4,17 +4,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 ESTATE_BIN=$1
 ESTATE_BASE=${ESTATE_BASE:-25000}
-ESTATE_LOGS=$(mktemp -d)
 . "$here/../Estate/estate.sh"
 work=$(mktemp -d)
-failed=0
-
-# check NAME CONDITION...: prints and remembers whether a test command holds.
-check() {
-    local name=$1
-    shift
-    if "$@"; then echo "holds: $name"; else echo "FAILS: $name"; failed=1; fi
-}
 
 estate_platform
 estate_client apply "$here/../../Examples/estate" >/dev/null
--- a/bench/overload.sh
+++ b/bench/overload.sh
@@ -13,7 +13,7 @@
 # Four upstreams with three slots of 10 ms.
 capacity=1200
 
-field() { sed -n "s/^ *\"$1\": \([0-9.]*\),*$/\1/p" "$results/load"; }
+field() { estate_field "$results/load" "$1"; }
 retries() {
     for host in hakata-1 hakata-2 kokura-1 kokura-2; do
         curl -s "http://${ESTATE_ADDRESS[entry-$host-admin]}/metrics"
