Show that an order sent again through other routers runs once

Cause: nothing showed what becomes of an idempotency key that comes through another router; the upstream stand-in ran an order twice when it came again while the first still ran.

--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -169,13 +169,20 @@
     if (draining_ && !options_.keyed) {
         co_return refusal("draining");
     }
-    if (running_.size() >= options_.slots) {
-        co_return refusal("busy");
+    // The same order sent twice at once runs once, and both callers get its answer.
+    while (!entry.idempotency_key.empty() && running_keys_.contains(entry.idempotency_key)) {
+        co_await wait(finish_poll);
     }
     if (const auto known = answered_keys_.find(entry.idempotency_key);
         !entry.idempotency_key.empty() && known != answered_keys_.end()) {
         co_return cw_make_response(http::status::ok, known->second);
     }
+    if (running_.size() >= options_.slots) {
+        co_return refusal("busy");
+    }
+    if (!entry.idempotency_key.empty()) {
+        running_keys_.insert(entry.idempotency_key);
+    }
     entry.start = clock_reading();
     const auto deadline =
         entry.start + std::chrono::milliseconds{number_of(request, cw_header_deadline_ms)};
@@ -183,6 +190,7 @@
     running_[number] = &entry;
     co_await wait(work_time());
     running_.erase(number);
+    running_keys_.erase(entry.idempotency_key);
     entry.end = clock_reading();
     const bool in_time = request[cw_header_deadline_ms].empty() || entry.end < deadline;
     entry.committed =
--- a/Standins/cw_upstream_standin.h
+++ b/Standins/cw_upstream_standin.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 /// A small fake of a server that holds keys. Its journal tells, from outside the router, what ran.
@@ -54,6 +55,7 @@
     std::deque<run> journal_;
     std::map<std::uint64_t, run*> running_;
     std::map<std::string, std::string> answered_keys_;
+    std::set<std::string> running_keys_;
     std::uint64_t next_run_ = 0;
     bool draining_ = false;
 };
