Write shared logic once: adding loads, reaching a firm's keepers, eras

Cause: loads were added up by two equal functions, and the balancer and the crash relay had the same loop over the keepers of a firm. The keeper's core copied a whole table with each table event, although the balancer's last era is that table. The deadline sweeper kept a flag that nobody read, and two files had the same limits of a caller's connection. Change: cw_service_load::add, cw_keeper_context::send_to_firm, the last era as the table before, one place for the two limits, no dead flag, two needless includes less. Behaviour is as before.

--- a/Source/cw_attempt_runner.cpp
+++ b/Source/cw_attempt_runner.cpp
@@ -22,10 +22,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto idle_timeout = 60s;
 constexpr auto connect_timeout = 250ms;
-/// Answers up to this size are held whole.
-constexpr std::uint64_t largest_held_body = 262'144;
 
 auto now() {
     return std::chrono::steady_clock::now();
@@ -170,7 +167,7 @@
         current.reason = "send to the upstream: " + failure.message();
         co_return false;
     }
-    const auto extend_caller = [this] { caller_deadline_.extend(now() + idle_timeout); };
+    const auto extend_caller = [this] { caller_deadline_.extend(now() + cw_caller_timeout); };
     const auto result = co_await cw_relay_body(caller_, caller_buffer_, parser, upstream, message,
                                                serializer, extend_caller, [] {});
     caller_deadline_.extend(cw_time_point::max());
@@ -197,7 +194,7 @@
     }
     const auto length = head.content_length();
     const bool has_body = !head.is_done();
-    if (has_body && (!length || *length > largest_held_body)) {
+    if (has_body && (!length || *length > cw_largest_held_body)) {
         waiting.unwatch();
         co_return co_await stream_answer(current, upstream, buffer, head);
     }
@@ -242,7 +239,7 @@
     current.streamed_answer = true;
     const bool until_close = !length && !parser.chunked();
     boost::system::error_code failure;
-    const auto extend_caller = [this] { caller_deadline_.extend(now() + idle_timeout); };
+    const auto extend_caller = [this] { caller_deadline_.extend(now() + cw_caller_timeout); };
     extend_caller();
     co_await http::async_write_header(caller_, serializer, cw_into(failure));
     cw_body_relay_result relayed;
--- a/Source/cw_balancer.cpp
+++ b/Source/cw_balancer.cpp
@@ -65,12 +65,6 @@
     std::erase_if(known, [](const auto& entry) { return entry.second < least_rate; });
 }
 
-void add(cw_position_rates& sum, const cw_position_rates& rates) {
-    for (const auto& [position, rate] : rates) {
-        sum[position] += rate;
-    }
-}
-
 /// Rates by the slices that hold their positions now.
 cw_position_rates by_slice(const cw_slice_table& table, const cw_position_rates& rates) {
     cw_position_rates result;
@@ -162,28 +156,26 @@
     return report;
 }
 
-void cw_balancer::on_table(const cw_slice_table* previous, const cw_slice_table& table,
-                           cw_time_point now) {
+void cw_balancer::on_table(const cw_slice_table& table, cw_time_point now) {
     note_domains(table, now);
-    count_moves(previous, table, now);
-    begin_era(previous, table);
+    auto& eras = eras_[table.service()];
+    if (!eras.empty() && eras.back().table.slices() == table.slices()) {
+        return;
+    }
+    count_moves(eras.empty() ? nullptr : &eras.back().table, table, now);
+    begin_era(eras, table);
 }
 
-void cw_balancer::begin_era(const cw_slice_table* previous, const cw_slice_table& table) {
-    if (previous != nullptr && previous->slices() == table.slices()) {
-        return;
+void cw_balancer::begin_era(std::deque<era>& eras, const cw_slice_table& table) {
+    if (!eras.empty()) {
+        for (auto& [host, load] : loads_[table.service()]) {
+            load = cw_planner::rekeyed(load, eras.back().table, table);
+        }
     }
-    auto& eras = eras_[table.service()];
     eras.push_back({table.epoch(), table});
     if (eras.size() > most_eras) {
         eras.pop_front();
     }
-    if (previous == nullptr) {
-        return;
-    }
-    for (auto& [host, load] : loads_[table.service()]) {
-        load = cw_planner::rekeyed(load, *previous, table);
-    }
 }
 
 void cw_balancer::note_domains(const cw_slice_table& table, cw_time_point now) {
@@ -245,8 +237,7 @@
     }
     for (const auto& [host, load] : found->second) {
         if (context_.host(host) != nullptr) {
-            add(sum.slices, load.slices);
-            add(sum.keys, load.keys);
+            sum.add(load);
         }
     }
     return sum;
@@ -409,20 +400,7 @@
         if (!service.keyed || service.firm != own->firm) {
             continue;
         }
-        const auto report = report_on(service.name);
         // Each keeper plans moves for the upstreams it renews, so all of them need the whole load.
-        for (const auto& domain : context_.config()->domains) {
-            if (domain.firm == own->firm) {
-                share_with(domain.name, report);
-            }
-        }
-    }
-}
-
-void cw_balancer::share_with(const std::string& domain, const cw_load_message& report) {
-    for (const auto& host : context_.entry_hosts(domain)) {
-        if (host != context_.self().host) {
-            context_.send(host, report);
-        }
+        context_.send_to_firm(report_on(service.name));
     }
 }
--- a/Source/cw_balancer.h
+++ b/Source/cw_balancer.h
@@ -27,8 +27,8 @@
 
     void on_tick(cw_time_point now);
     /// Keeps account of moves, of domains that have just lost all their slices, and restates the
-    /// known load by the new slices. `previous` is null for the first table of a service.
-    void on_table(const cw_slice_table* previous, const cw_slice_table& table, cw_time_point now);
+    /// known load by the new slices.
+    void on_table(const cw_slice_table& table, cw_time_point now);
     void on_router_load(const cw_router_load_event& event, cw_time_point now);
     void on_peer_load(const cw_ring_member& from, const cw_load_message& report, cw_time_point now);
 
@@ -46,16 +46,15 @@
                                                   std::size_t most_moves, cw_time_point now) const;
     /// Drops the load of hosts whose routers or keepers have fallen silent.
     void forget_silent(cw_time_point now);
-    void begin_era(const cw_slice_table* previous, const cw_slice_table& table);
     /// The load that a report states, by the slices of the present table; none when its own table
     /// is not known.
     [[nodiscard]] std::optional<cw_service_load> restated(const cw_load_message& report) const;
     [[nodiscard]] cw_load_message report_on(const std::string& service) const;
+    /// `previous` is null for the first table of a service.
     void count_moves(const cw_slice_table* previous, const cw_slice_table& table,
                      cw_time_point now);
     void note_domains(const cw_slice_table& table, cw_time_point now);
     void share_load();
-    void share_with(const std::string& domain, const cw_load_message& report);
     /// Upstreams of this domain that should receive nothing.
     [[nodiscard]] std::vector<std::string> unfit_upstreams() const;
     [[nodiscard]] bool may_receive(const cw_upstream_place& place, const std::string& service,
@@ -71,6 +70,8 @@
         cw_slice_table table;
     };
 
+    void begin_era(std::deque<era>& eras, const cw_slice_table& table);
+
     /// Slices that have changed owner since the window began; all keepers see the same tables, so
     /// all keep the same account.
     struct move_window {
--- a/Source/cw_crash_relay.cpp
+++ b/Source/cw_crash_relay.cpp
@@ -22,7 +22,7 @@
     const cw_crash_message mark{context_.self().host, number, event.fingerprint, event.address,
                                 event.answered};
     if (take(mark, now)) {
-        send(mark);
+        context_.send_to_firm(mark);
         repeats_.push_back({mark, repeats, now + repeat_interval});
     }
 }
@@ -56,28 +56,10 @@
     return true;
 }
 
-void cw_crash_relay::send(const cw_crash_message& mark) {
-    const auto* config = context_.config();
-    const auto* own = config == nullptr ? nullptr : config->domain(context_.domain());
-    if (own == nullptr) {
-        return;
-    }
-    for (const auto& domain : config->domains) {
-        if (domain.firm != own->firm) {
-            continue;
-        }
-        for (const auto& host : context_.entry_hosts(domain.name)) {
-            if (host != context_.self().host) {
-                context_.send(host, mark);
-            }
-        }
-    }
-}
-
 void cw_crash_relay::on_tick(cw_time_point now) {
     for (auto& waiting : repeats_) {
         if (now >= waiting.due) {
-            send(waiting.mark);
+            context_.send_to_firm(waiting.mark);
             waiting.due = now + repeat_interval;
             --waiting.left;
         }
--- a/Source/cw_crash_relay.h
+++ b/Source/cw_crash_relay.h
@@ -36,7 +36,6 @@
     };
 
     bool take(const cw_crash_message& mark, cw_time_point now);
-    void send(const cw_crash_message& mark);
 
     cw_keeper_context& context_;
     cw_crash_ledger ledger_;
--- a/Source/cw_deadline_sweeper.cpp
+++ b/Source/cw_deadline_sweeper.cpp
@@ -28,7 +28,6 @@
         const auto now = std::chrono::steady_clock::now();
         for (auto& waiting : entries_) {
             if (now >= waiting.deadline) {
-                waiting.fired = true;
                 waiting.socket->cancel(failure);
             }
         }
--- a/Source/cw_deadline_sweeper.h
+++ b/Source/cw_deadline_sweeper.h
@@ -18,7 +18,6 @@
     struct entry {
         boost::asio::ip::tcp::socket* socket;
         cw_time_point deadline;
-        bool fired;
         /// The caller's connection, while its end makes the operation pointless.
         boost::asio::ip::tcp::socket* caller;
         bool caller_left;
@@ -34,8 +33,7 @@
         guard(cw_deadline_sweeper& sweeper, boost::asio::ip::tcp::socket& socket,
               cw_time_point deadline)
             : entries_{sweeper.entries_},
-              place_{entries_.insert(entries_.end(),
-                                     entry{&socket, deadline, false, nullptr, false})} {}
+              place_{entries_.insert(entries_.end(), entry{&socket, deadline, nullptr, false})} {}
         ~guard() { entries_.erase(place_); }
         guard(const guard&) = delete;
         guard& operator=(const guard&) = delete;
@@ -46,8 +44,6 @@
         /// request) are left alone.
         void watch(boost::asio::ip::tcp::socket& caller) { place_->caller = &caller; }
         void unwatch() { place_->caller = nullptr; }
-        /// True when the deadline passed and the operation was cancelled.
-        [[nodiscard]] bool has_fired() const { return place_->fired; }
         /// True when the caller went away and the operation was cancelled.
         [[nodiscard]] bool has_caller_left() const { return place_->caller_left; }
 
--- a/Source/cw_keeper_context.cpp
+++ b/Source/cw_keeper_context.cpp
@@ -80,6 +80,23 @@
     emit(cw_send_peer_command{to, std::move(body)});
 }
 
+void cw_keeper_context::send_to_firm(const cw_peer_body& body) {
+    const auto* own = config_ == nullptr ? nullptr : config_->domain(domain_);
+    if (own == nullptr) {
+        return;
+    }
+    for (const auto& domain : config_->domains) {
+        if (domain.firm != own->firm) {
+            continue;
+        }
+        for (const auto& host : entry_hosts(domain.name)) {
+            if (host != self_.host) {
+                send(host, body);
+            }
+        }
+    }
+}
+
 std::vector<cw_keeper_command> cw_keeper_context::take_commands() {
     return std::exchange(commands_, {});
 }
--- a/Source/cw_keeper_context.h
+++ b/Source/cw_keeper_context.h
@@ -58,6 +58,8 @@
     void emit(cw_keeper_command command) { commands_.push_back(std::move(command)); }
     void note(std::string what, std::string subject, std::string detail = "");
     void send(const std::string& to, cw_peer_body body);
+    /// Sends to every other keeper of the firm that this keeper's domain belongs to.
+    void send_to_firm(const cw_peer_body& body);
     [[nodiscard]] std::vector<cw_keeper_command> take_commands();
 
 private:
--- a/Source/cw_keeper_core.cpp
+++ b/Source/cw_keeper_core.cpp
@@ -2,8 +2,6 @@
 
 #include "cw_store_key.h"
 
-#include <optional>
-
 cw_keeper_core::cw_keeper_core(cw_ring_member self, std::string domain, cw_timings timings)
     : context_{std::move(self), std::move(domain), timings},
       membership_{context_},
@@ -112,15 +110,11 @@
 
 void cw_keeper_core::handle(const cw_table_event& event, cw_time_point now) {
     const auto& service = event.table.service();
-    std::optional<cw_slice_table> previous;
-    if (const auto* known = context_.table(service); known != nullptr) {
-        previous = known->table;
-    }
     if (!context_.set_table({event.table, event.store_version})) {
         return;
     }
     leases_.on_table(*context_.table(service), now);
-    balancer_.on_table(previous ? &*previous : nullptr, event.table, now);
+    balancer_.on_table(event.table, now);
     context_.emit(cw_publish_command{});
     if (membership_.ring() && !stopping_) {
         // A change of owners is carried out at once rather than with the next tick.
--- a/Source/cw_lease_keeper.h
+++ b/Source/cw_lease_keeper.h
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/Source/cw_proxy_exchange.h
+++ b/Source/cw_proxy_exchange.h
@@ -7,12 +7,18 @@
 
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
 using cw_request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+/// Requests and answers up to this size are held whole.
+inline constexpr std::uint64_t cw_largest_held_body = 262'144;
+/// Silence of a caller after which its connection is ended.
+inline constexpr std::chrono::seconds cw_caller_timeout{60};
+
 /// One caller's request on its way through the router.
 struct cw_proxy_exchange {
     cw_http_request request;
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -24,7 +24,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto idle_timeout = 60s;
 constexpr auto view_poll = 2ms;
 /// Longest wait for a newer table: a planned move is over by then, and a loss takes longer.
 constexpr std::chrono::milliseconds longest_view_wait = 100ms;
@@ -32,8 +31,6 @@
 /// Time left below which another attempt is pointless.
 constexpr auto least_time_left = 1ms;
 constexpr auto longest_deadline = 24h;
-/// Requests up to this size are held whole.
-constexpr std::uint64_t largest_held_body = 262'144;
 /// A lost upstream's keys are served again after about this long.
 constexpr std::chrono::milliseconds return_after_loss = 600ms;
 constexpr std::chrono::milliseconds return_when_full = 250ms;
@@ -101,7 +98,7 @@
     cw_request_parser parser;
     parser.body_limit(boost::none);
     boost::system::error_code failure;
-    caller_deadline_.extend(now() + idle_timeout);
+    caller_deadline_.extend(now() + cw_caller_timeout);
     co_await http::async_read_header(caller_, buffer_, parser, cw_into(failure));
     if (failure) {
         co_return false;
@@ -136,7 +133,7 @@
         boost::system::error_code failure;
         co_await http::async_write(caller_, go_on, cw_into(failure));
     }
-    if (parser.chunked() || (length && *length > largest_held_body)) {
+    if (parser.chunked() || (length && *length > cw_largest_held_body)) {
         current.streamed_body = &parser;
         co_return true;
     }
@@ -144,7 +141,7 @@
         co_return true;
     }
     boost::system::error_code failure;
-    caller_deadline_.extend(now() + idle_timeout);
+    caller_deadline_.extend(now() + cw_caller_timeout);
     co_await http::async_read(caller_, buffer_, parser, cw_into(failure));
     caller_deadline_.extend(cw_time_point::max());
     current.request.body() = std::move(parser.get().body());
@@ -339,7 +336,7 @@
     const bool last = traffic_.shared.is_stopping() || current.streamed_body != nullptr;
     message.keep_alive(!last);
     boost::system::error_code failure;
-    caller_deadline_.extend(now() + idle_timeout);
+    caller_deadline_.extend(now() + cw_caller_timeout);
     if (current.request.method() == http::verb::head) {
         http::response_serializer<http::string_body> serializer{message};
         co_await http::async_write_header(caller_, serializer, cw_into(failure));
--- a/Source/cw_router_services.cpp
+++ b/Source/cw_router_services.cpp
@@ -69,8 +69,7 @@
         std::map<std::string, cw_service_load> sums;
         for (auto* thread : traffic_) {
             for (const auto& [service, load] : thread->metrics.take_loads()) {
-                add(sums[service].slices, load.slices);
-                add(sums[service].keys, load.keys);
+                sums[service].add(load);
             }
         }
         auto loads = nlohmann::json::object();
@@ -80,12 +79,6 @@
         return loads;
     }
 
-    static void add(cw_position_rates& sum, const cw_position_rates& rates) {
-        for (const auto& [position, rate] : rates) {
-            sum[position] += rate;
-        }
-    }
-
     cw_router_shared& shared_;
     cw_rpc_client client_;
     std::vector<cw_traffic_context*> traffic_;
--- a/Source/cw_service_load.h
+++ b/Source/cw_service_load.h
@@ -13,6 +13,15 @@
     /// Load of single hot keys, by position. It is part of their slices' load.
     cw_position_rates keys;
 
+    /// Adds the load that other routers saw.
+    void add(const cw_service_load& other) {
+        for (const auto& [first, rate] : other.slices) {
+            slices[first] += rate;
+        }
+        for (const auto& [position, rate] : other.keys) {
+            keys[position] += rate;
+        }
+    }
     /// Requests per second of the whole service.
     [[nodiscard]] double total() const {
         double sum = 0.0;
--- a/Source/cw_tenure.h
+++ b/Source/cw_tenure.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
