Count keys, spread lost keys in few pieces, stop with no request in hand, reset orders

A lost range was cut into ranges of one key each, because the even share counted candidates that were still cold. - No key ever moved for balance: the session never counted keys. Change: each of these; at most 8 orders under way to one upstream; keys are first given out when no new upstream has come for a second.

--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -50,7 +50,7 @@
                                {"incarnation", std::to_string(self_.incarnation)}});
         context_.run();
         kernel_.stop();
-        log_.info("Stopped.", {{"requests_cut", std::to_string(open_requests_)}});
+        log_.info("Stopped.", {{"requests_cut", std::to_string(traffic_.open_requests.load())}});
         // What is still under way refers to this object, so it is not torn down piece by piece.
         std::fflush(stdout);
         std::_Exit(EXIT_SUCCESS);
@@ -129,9 +129,7 @@
         boost::asio::post(traffic_.context(), [this] { stop_accepting(); });
         do {
             co_await pause(stop_poll);
-            boost::asio::post(traffic_.context(),
-                              [this] { open_requests_ = traffic_.open_requests; });
-        } while (std::chrono::steady_clock::now() < until && open_requests_ != 0);
+        } while (std::chrono::steady_clock::now() < until && traffic_.open_requests != 0);
         context_.stop();
     }
 
@@ -175,5 +173,4 @@
     cw_http_server admin_;
     cw_gateway_io<Port> io_;
     bool stopping_ = false;
-    std::atomic<std::uint64_t> open_requests_{0};
 };
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -304,6 +304,9 @@
         while (true) {
             if (const auto* owner = owner_of(current)) {
                 current.upstream = *owner;
+                if (current.sent == 0) {
+                    traffic_.count_key(current.service, *current.facts.key);
+                }
                 co_return true;
             }
             if (now() >= until || watch.has_caller_left()) {
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -9,6 +9,7 @@
 #include "cw_upstream_meter.h"
 #include "cw_upstream_pool.h"
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,8 +58,8 @@
     /// Requests per key since the last call, by service. Safe to call from any thread.
     [[nodiscard]] std::map<std::string, std::vector<cw_key_count>> take_counts();
 
-    /// Requests in hand.
-    std::uint64_t open_requests = 0;
+    /// Requests in hand. Other threads may read it.
+    std::atomic<std::uint64_t> open_requests{0};
     /// Connections that wait for their next request.
     std::list<boost::asio::ip::tcp::socket*> idle;
 
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -19,13 +19,6 @@
                                 const boost::system::error_code& failure) {
     return tl::unexpected(cw_error{step, peer, failure.message()});
 }
-/// Ends a connection so that bytes that are still on their way are dropped: a call that was given
-/// up must not arrive later.
-void reset(boost::beast::tcp_stream& connection) {
-    boost::system::error_code ignored;
-    connection.socket().set_option(net::socket_base::linger{true, 0}, ignored);
-    connection.close();
-}
 } // namespace
 
 bool cw_is_refused(const cw_error& error) {
@@ -69,10 +62,12 @@
     boost::system::error_code failure;
     co_await connection->async_connect(endpoint->tcp(), cw_into(failure));
     if (failure) {
-        reset(*connection);
         co_return failed("connect", address, failure);
     }
     connection->socket().set_option(net::ip::tcp::no_delay{true}, failure);
+    // A call that was given up must not arrive later: its end drops what is still on the way. The
+    // stream closes its socket by itself when a deadline passes, so this is set beforehand.
+    connection->socket().set_option(net::socket_base::linger{true, 0}, failure);
     auto response = co_await try_once(*connection, address, message, deadline);
     if (response && response->keep_alive() && idle_[address].size() < most_idle) {
         connection->expires_never();
@@ -89,7 +84,6 @@
     connection.expires_at(deadline);
     bytes_ += co_await http::async_write(connection, message, cw_into(failure));
     if (failure) {
-        reset(connection);
         co_return failed("send", address, failure);
     }
     boost::beast::flat_buffer buffer;
@@ -97,7 +91,6 @@
     parser.body_limit(largest_body);
     bytes_ += co_await http::async_read(connection, buffer, parser, cw_into(failure));
     if (failure) {
-        reset(connection);
         co_return failed("receive", address, failure);
     }
     connection.expires_never();
--- a/Source/cw_key_planner.cpp
+++ b/Source/cw_key_planner.cpp
@@ -83,20 +83,6 @@
         add(to, first, last);
     }
 
-    /// The least used candidate, a warm one if there is any.
-    account* least_used() {
-        account* best = nullptr;
-        const auto rank = [](const account& entry) {
-            return std::pair{!entry.candidate->warm, entry.use()};
-        };
-        for (auto& entry : accounts_) {
-            if (best == nullptr || rank(entry) < rank(*best)) {
-                best = &entry;
-            }
-        }
-        return best;
-    }
-
     [[nodiscard]] double mean_use() const {
         double load = 0.0;
         double capacity = 0.0;
@@ -116,19 +102,44 @@
         return std::clamp(first + length, first + 2, last + 2) - 2;
     }
 
+    /// Candidates that are given keys: the warm ones, or all when none is warm.
+    [[nodiscard]] std::vector<account*> takers() {
+        std::vector<account*> list;
+        for (auto& entry : accounts_) {
+            if (entry.candidate->warm) {
+                list.push_back(&entry);
+            }
+        }
+        if (list.empty()) {
+            for (auto& entry : accounts_) {
+                list.push_back(&entry);
+            }
+        }
+        return list;
+    }
+
     /// Cuts keys without an owner into pieces that fit the least used candidates.
     void spread(std::uint32_t first, std::uint32_t last) {
-        const auto even = mean_use_with(weight(first, last));
+        const auto list = takers();
+        if (list.empty()) {
+            return;
+        }
+        double load = weight(first, last);
+        double capacity = 0.0;
+        for (const auto* entry : list) {
+            load += entry->load;
+            capacity += entry->candidate->capacity;
+        }
+        const double even = load / capacity;
         while (first <= last) {
-            auto* to = least_used();
-            if (to == nullptr) {
-                return;
-            }
+            auto* to = *std::min_element(list.begin(), list.end(), [](auto* left, auto* right) {
+                return left->use() < right->use();
+            });
+            // Small pieces and small rests are not worth a range of their own.
+            const double least = even * to->candidate->capacity * small_piece;
             const double room = (even - to->use()) * to->candidate->capacity;
-            auto end = end_of_stretch(first, last, std::max(room, 0.0));
-            // A small rest is not worth a range of its own.
-            const double rest = end < last ? weight(end + 1, last) : 0.0;
-            if (rest < even * to->candidate->capacity * small_rest) {
+            auto end = end_of_stretch(first, last, std::max(room, least));
+            if (end < last && weight(end + 1, last) < least) {
                 end = last;
             }
             give(first, end, *to);
@@ -136,14 +147,6 @@
         }
     }
 
-    [[nodiscard]] double mean_use_with(double extra) const {
-        double capacity = 0.0;
-        for (const auto& entry : accounts_) {
-            capacity += entry.candidate->capacity;
-        }
-        return mean_use() + (capacity > 0.0 ? extra / capacity : 0.0);
-    }
-
     void take_share(account& taker) {
         const auto want = mean_use() * taker.candidate->capacity;
         account* giver = nullptr;
@@ -226,7 +229,7 @@
         return begin;
     }
 
-    static constexpr double small_rest = 0.2;
+    static constexpr double small_piece = 0.25;
     static constexpr double most_overshoot = 1.5;
 
     const cw_key_table& table_;
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t least_failures = 3;
 /// Ranges for each owner above which neighbours are joined.
 constexpr std::size_t most_ranges = 3;
+/// Orders that may be under way to one upstream.
+constexpr std::ptrdiff_t most_orders = 8;
 /// Fences that are skipped when an owner has seen a higher one.
 constexpr std::uint64_t fence_skip = 64;
 
@@ -77,8 +79,9 @@
             upstreams_.emplace(id, entry);
         }
     }
-    if (!upstreams_.empty() && upstreams_since_ == cw_boot_time{}) {
-        upstreams_since_ = now;
+    if (upstreams_.size() > most_upstreams_) {
+        most_upstreams_ = upstreams_.size();
+        upstreams_grew_ = now;
     }
 }
 
@@ -290,7 +293,7 @@
     const auto& range = table_.ranges[place];
     auto& state = states_[place];
     if (range.owner.id.empty() || !free_holders(place, now, out) || now < state.next_order ||
-        is_granting(range, range.owner) || has_ended(range.owner)) {
+        is_granting(range, range.owner) || has_ended(range.owner) || is_busy(range.owner)) {
         return;
     }
     cw_key_order order;
@@ -315,7 +318,7 @@
             continue;
         }
         all_free = false;
-        if (now < who.next_release) {
+        if (now < who.next_release || is_busy(who.who)) {
             continue;
         }
         who.next_release = now + options_.release_retry;
@@ -345,6 +348,12 @@
     });
 }
 
+bool cw_steward::is_busy(const cw_key_owner& owner) const {
+    return std::count_if(orders_.begin(), orders_.end(), [&](const auto& item) {
+               return item.second.upstream == owner;
+           }) >= most_orders;
+}
+
 bool cw_steward::has_ended(const cw_key_owner& owner) const {
     const auto ended = ended_lives_.find(owner.id);
     if (ended != ended_lives_.end() && ended->second >= owner.life) {
@@ -524,7 +533,7 @@
 
 void cw_steward::plan(cw_boot_time now, commands& out) {
     const bool first = table_.last_fence == 0;
-    if (upstreams_.empty() || (first && now < upstreams_since_ + options_.gather)) {
+    if (upstreams_.empty() || (first && now < upstreams_grew_ + options_.gather)) {
         return;
     }
     const auto list = candidates(now);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -103,6 +103,8 @@
     void settle(cw_boot_time now);
     void check_predecessors(cw_boot_time now);
     [[nodiscard]] bool is_granting(const cw_key_range& range, const cw_key_owner& owner) const;
+    /// True when as many orders are under way to the upstream as may be.
+    [[nodiscard]] bool is_busy(const cw_key_owner& owner) const;
     [[nodiscard]] bool has_ended(const cw_key_owner& owner) const;
     [[nodiscard]] bool is_silent(const std::string& owner, cw_boot_time now) const;
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
@@ -126,7 +128,9 @@
     std::map<std::uint64_t, cw_key_order> orders_;
     std::uint64_t next_number_ = 1;
     std::map<std::string, cw_upstream_entry> upstreams_;
-    cw_boot_time upstreams_since_{};
+    std::size_t most_upstreams_ = 0;
+    /// When there were more upstreams than ever before.
+    cw_boot_time upstreams_grew_{};
     /// Lives of upstreams that are proved to have ended, by id.
     std::map<std::string, std::uint64_t> ended_lives_;
 
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -34,7 +34,7 @@
     std::chrono::milliseconds balance{500};
     /// Time for which an upstream that took part in a move is left alone by the balance.
     std::chrono::milliseconds rest{1'500};
-    /// Time after the first sight of upstreams before keys are first given out.
+    /// Time after the last new upstream before keys are first given out.
     std::chrono::milliseconds gather{1'000};
     /// Share by which an upstream's clock may run slow, with a margin for the way of messages.
     double clock_error = 0.04;
