Prefer upstreams of the own failure domain that answer in good time

Ruled out: keyed requests (their owner is where it is). Change: near upstreams expected to answer within half of the route's target go first.

--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -52,6 +52,9 @@
     static constexpr milliseconds return_when_unready{500};
     /// Time for which bytes of a refused request are still taken, so that its answer arrives.
     static constexpr milliseconds linger_time{300};
+    /// Part of a route's target time within which an expected answer is good enough: a half.
+    static constexpr int good_part = 1;
+    static constexpr int whole_part = 2;
     /// Attempts of which none has run.
     static constexpr std::uint32_t most_refusals = 3;
 
@@ -265,7 +268,9 @@
 
     bool pick(cw_gateway_exchange& current) {
         const auto pool = current.view->upstreams.find(current.service);
-        const cw_pick_wish wish{traffic_.options().domain, &current.tried, traffic_.draw()};
+        const cw_pick_wish wish{traffic_.options().domain,
+                                current.route->target * good_part / whole_part, &current.tried,
+                                traffic_.draw()};
         const auto* chosen =
             pool == current.view->upstreams.end()
                 ? nullptr
--- a/Source/cw_upstream_picker.cpp
+++ b/Source/cw_upstream_picker.cpp
@@ -18,6 +18,17 @@
     const cw_upstream_entry* upstream;
     double seconds;
 };
+/// Leaves only those of the own failure domain that will be done in good time, if there are any.
+void prefer_near(std::vector<choice>& choices, const cw_pick_wish& wish) {
+    const double enough = std::chrono::duration<double>(wish.good_enough).count();
+    const auto is_good = [&](const choice& item) {
+        return item.upstream->domain == wish.domain && item.seconds <= enough;
+    };
+    if (std::any_of(choices.begin(), choices.end(), is_good)) {
+        std::erase_if(choices, [&](const choice& item) { return !is_good(item); });
+    }
+}
+
 } // namespace
 
 const cw_upstream_entry*
@@ -44,6 +55,7 @@
     if (from.empty()) {
         return nullptr;
     }
+    prefer_near(from, wish);
     const auto best =
         std::min_element(from.begin(), from.end(), [](const auto& left, const auto& right) {
             return left.seconds < right.seconds;
--- a/Source/cw_upstream_picker.h
+++ b/Source/cw_upstream_picker.h
@@ -3,6 +3,7 @@
 #include "cw_boot_clock.h"
 #include "cw_upstream_entry.h"
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,8 @@
 struct cw_pick_wish {
     /// Failure domain of the host that asks.
     std::string_view domain;
+    /// Time within which an answer is as good as a sooner one.
+    std::chrono::nanoseconds good_enough{0};
     /// Ids that have been tried for this request.
     const std::vector<std::string>* tried = nullptr;
     /// Random number, so that hosts with the same knowledge do not all choose the same.
@@ -22,9 +25,10 @@
 
 /// Chooses the upstream that will probably answer soonest; null when there is none.
 ///
-/// Several hosts choose by knowledge that is some answers old, so of those that are about equally
-/// good one is drawn, those of the own failure domain first. Upstreams that failed or were full a
-/// moment ago are passed over while others are left.
+/// An upstream of the own failure domain that will be done in good time goes before all others,
+/// since bytes between failure domains are dear. Several hosts choose by knowledge that is some
+/// answers old, so of those that are about equally good one is drawn. Upstreams that failed or were
+/// full a moment ago are passed over while others are left.
 [[nodiscard]] const cw_upstream_entry*
 cw_pick_upstream(const std::vector<cw_upstream_entry>& upstreams, const cw_pick_wish& wish,
                  const std::function<const cw_upstream_meter&(const cw_upstream_entry&)>& meter_of,
