Bound queues by the route's target time

Change: a request is refused at once when its upstream's queue is longer than what is left of the target; after the target the time limit counts.

--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -330,11 +330,16 @@
     }
 
     /// False when the upstream would probably not be done in time.
+    ///
+    /// Time is the route's target until that has passed: a queue that is longer makes every answer
+    /// late and not one more of them possible.
     bool fits(cw_gateway_exchange& current) {
         const auto expected = traffic_.meter(current.upstream)
                                   .expected_time(current.upstream.slots, cw_boot_clock::now());
-        const auto left = current.deadline - now();
-        if (expected <= left) {
+        const auto target = current.started + current.route->target;
+        const auto until = now() < target ? std::min(target, current.deadline) : current.deadline;
+        const auto left = until - now();
+        if (expected <= left || traffic_.meter(current.upstream).in_flight() == 0) {
             return true;
         }
         current.reason = "the upstream's queue is longer than the time that is left";
