Answer requests that must not be forwarded; test the gateway's way of a request

Cause: the router forwarded 'Transfer-Encoding: xchunked' without a length and left its body on the connection as a next request; it closed other bad requests without a status and let a dripping header stay open. Ruled out: the parser's own checks (Beast takes any last coding but chunked as none).

--- a/Source/cw_attempt_runner.cpp
+++ b/Source/cw_attempt_runner.cpp
@@ -182,6 +182,7 @@
     caller_deadline_.extend(cw_time_point::max());
     if (result.source) {
         current.reason = "receive from the caller: " + result.source.message();
+        current.caller_mistake = cw_parse_mistake(result.source);
     } else if (result.sink) {
         current.reason = "send to the upstream: " + result.sink.message();
     }
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -3,6 +3,7 @@
 #include "cw_gateway_attempt.h"
 #include "cw_gateway_options.h"
 #include "cw_hop_headers.h"
+#include "cw_reject.h"
 #include "cw_request_check.h"
 #include "cw_socket_alarm.h"
 #include "cw_upstream_picker.h"
@@ -50,8 +51,8 @@
     static constexpr int most_move_wait_part = 3;
     static constexpr milliseconds return_after_move{250};
     static constexpr milliseconds return_when_unready{500};
-    /// Time for which bytes of a refused request are still taken, so that its answer arrives.
-    static constexpr milliseconds linger_time{300};
+    /// Time for the answer to a rejected request, and for the rest of that request.
+    static constexpr milliseconds linger_time{500};
     /// Part of a route's target time within which an expected answer is good enough: a half.
     static constexpr int good_part = 1;
     static constexpr int whole_part = 2;
@@ -134,21 +135,8 @@
         traffic_.log().info("Rejected.",
                             {{"status", std::to_string(static_cast<int>(mistake.status))},
                              {"reason", mistake.reason}});
-        auto answer =
-            cw_make_response(mistake.status, std::string{mistake.reason} + "\n", "text/plain");
-        answer.keep_alive(false);
-        boost::system::error_code failure;
-        alarm_.set(caller_, now() + transfer_limit);
-        co_await boost::beast::http::async_write(caller_, answer, cw_into(failure));
-        alarm_.clear();
-        caller_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failure);
         alarm_.set(caller_, now() + linger_time);
-        buffer_.clear();
-        while (!failure && !alarm_.has_gone_off()) {
-            // A connection that is closed with unread bytes is reset, and the answer may be lost.
-            const auto space = buffer_.prepare(4'096);
-            co_await caller_.async_read_some(space, cw_into(failure));
-        }
+        co_await cw_reject(caller_, mistake);
         alarm_.clear();
     }
 
--- a/Source/cw_proxy_exchange.h
+++ b/Source/cw_proxy_exchange.h
@@ -2,6 +2,7 @@
 
 #include "cw_attempt.h"
 #include "cw_http_message.h"
+#include "cw_request_check.h"
 #include "cw_route_view.h"
 #include "cw_time.h"
 
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,8 @@
     cw_time_point started;
     cw_time_point deadline;
     cw_attempt_state state;
+    /// Set when the caller's body turned out to be no HTTP.
+    std::optional<cw_request_mistake> caller_mistake;
     /// The whole answer, once there is one.
     cw_http_response answer;
     /// True when the answer has been streamed to the caller already.
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -4,6 +4,7 @@
 #include "cw_header_names.h"
 #include "cw_hop_headers.h"
 #include "cw_key_hash.h"
+#include "cw_reject.h"
 #include "cw_router_shared.h"
 #include "cw_traffic_context.h"
 
@@ -24,6 +25,10 @@
 
 using namespace std::chrono_literals;
 
+/// Longest time from the first byte of a request to the end of its header.
+constexpr auto header_timeout = 10s;
+/// Time for the answer to a rejected request, and for the rest of that request.
+constexpr auto linger_time = 500ms;
 constexpr auto view_poll = 2ms;
 /// Longest wait for a newer table: a planned move is over by then, and a loss takes longer.
 constexpr std::chrono::milliseconds longest_view_wait = 100ms;
@@ -97,13 +102,9 @@
 net::awaitable<bool> cw_proxy_session::serve_one() {
     cw_request_parser parser;
     parser.body_limit(boost::none);
-    boost::system::error_code failure;
-    caller_deadline_.extend(now() + cw_caller_timeout);
-    co_await http::async_read_header(caller_, buffer_, parser, cw_into(failure));
-    if (failure) {
+    if (!co_await read_header(parser)) {
         co_return false;
     }
-    caller_deadline_.extend(cw_time_point::max());
     ++traffic_.shared.open_requests;
     struct closing {
         std::atomic<std::int64_t>& count;
@@ -125,6 +126,38 @@
     co_return intact ? reusable && !traffic_.shared.is_stopping() : false;
 }
 
+net::awaitable<bool> cw_proxy_session::read_header(cw_request_parser& parser) {
+    boost::system::error_code failure;
+    if (buffer_.size() == 0) {
+        caller_deadline_.extend(now() + cw_caller_timeout);
+        co_await caller_.async_wait(net::ip::tcp::socket::wait_read, cw_into(failure));
+        if (failure) {
+            co_return false;
+        }
+    }
+    caller_deadline_.extend(now() + header_timeout);
+    co_await http::async_read_header(caller_, buffer_, parser, cw_into(failure));
+    std::optional<cw_request_mistake> mistake;
+    if (failure == net::error::operation_aborted) {
+        mistake = cw_request_mistake{http::status::request_timeout,
+                                     "the request takes too long to arrive"};
+    } else if (failure) {
+        mistake = cw_parse_mistake(failure);
+    } else {
+        mistake = cw_check_request(parser.get(), parser.chunked());
+    }
+    if (mistake) {
+        co_await reject(*mistake);
+    }
+    caller_deadline_.extend(cw_time_point::max());
+    co_return !failure && !mistake;
+}
+
+net::awaitable<void> cw_proxy_session::reject(cw_request_mistake mistake) {
+    caller_deadline_.extend(now() + linger_time);
+    co_await cw_reject(caller_, mistake);
+}
+
 net::awaitable<bool> cw_proxy_session::read_body(cw_request_parser& parser,
                                                  cw_proxy_exchange& current) {
     const auto length = parser.content_length();
@@ -241,6 +274,10 @@
                                                            : cw_outcome::did_not_run);
         }
         const auto result = co_await attempt(current);
+        if (current.caller_mistake) {
+            co_await reject(*current.caller_mistake);
+            co_return false;
+        }
         if (current.streamed_answer) {
             traffic_.metrics.on_answer(result == cw_attempt_result::answered ? cw_outcome::answered
                                                                              : cw_outcome::unknown,
--- /dev/null
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -0,0 +1,233 @@
+#include "cw_gateway_settings.h"
+#include "cw_key_load.h"
+#include "cw_key_planner.h"
+#include "cw_upstream_directory.h"
+#include "cw_upstream_meter.h"
+#include "cw_upstream_picker.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const cw_boot_time start{1'000s};
+
+cw_upstream_entry entry(const std::string& id, std::uint64_t life,
+                        const std::string& domain = "z") {
+    cw_upstream_entry made;
+    made.id = id;
+    made.service = "s";
+    made.address = "10.0.0.1:1";
+    made.domain = domain;
+    made.slots = 3;
+    made.life = life;
+    return made;
+}
+
+cw_key_candidate candidate(const std::string& id, double capacity = 3.0) {
+    return {{id, 1, "10.0.0.1:1"}, capacity, true, false};
+}
+
+std::vector<double> even_sums() {
+    cw_key_load load{2s};
+    return load.sums(start);
+}
+
+/// Four candidates that own a quarter each.
+struct quartered {
+    std::vector<cw_key_candidate> candidates{candidate("a"), candidate("b"), candidate("c"),
+                                             candidate("d")};
+    cw_key_table table;
+
+    quartered() { table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {})); }
+
+    std::map<std::string, std::uint32_t> keys() const {
+        std::map<std::string, std::uint32_t> count;
+        for (const auto& range : table.ranges) {
+            count[range.owner.id] += range.size();
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_CASE("directory_entry_removed_in_calm_is_gone_at_once") {
+    cw_upstream_directory directory{2'500ms};
+    CHECK(directory.on_list({entry("a", 1), entry("b", 1)}, start));
+    CHECK(directory.on_removed("a", start + 1s));
+    CHECK(directory.find("a") == nullptr);
+    CHECK(directory.find("b") != nullptr);
+}
+
+TEST_CASE("directory_entry_missing_after_an_outage_is_gone_only_when_it_stays_away") {
+    cw_upstream_directory directory{2'500ms};
+    directory.on_list({entry("a", 1), entry("b", 1)}, start);
+    directory.on_disturbance(start + 1s);
+    CHECK_FALSE(directory.on_list({}, start + 2s));
+    CHECK(directory.find("a") != nullptr);
+    directory.on_entry(entry("b", 1), start + 3s);
+    CHECK(directory.on_tick(start + 4s));
+    CHECK(directory.find("a") == nullptr);
+    CHECK(directory.find("b") != nullptr);
+}
+
+TEST_CASE("directory_entry_of_an_older_life_changes_nothing") {
+    cw_upstream_directory directory{2'500ms};
+    directory.on_list({entry("a", 5)}, start);
+    CHECK_FALSE(directory.on_entry(entry("a", 4), start));
+    CHECK(directory.find("a")->life == 5);
+    CHECK(directory.on_entry(entry("a", 6), start));
+    CHECK(directory.find("a")->life == 6);
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_a_new_table_gives_each_candidate_its_share") {
+    for (const auto& [id, count] : keys()) {
+        CHECK(count == doctest::Approx(16'384).epsilon(0.01));
+    }
+    CHECK(table.ranges.size() == 4);
+    CHECK(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}).empty());
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_a_lost_owner_moves_its_keys_only_in_few_pieces") {
+    candidates.pop_back();
+    const auto moves = cw_plan_key_moves(table, candidates, even_sums(), 0.0, {});
+    CHECK(moves.size() <= 3);
+    std::uint32_t moved = 0;
+    for (const auto& move : moves) {
+        moved += move.last - move.first + 1;
+    }
+    CHECK(moved == 16'384);
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_a_lost_owner_beside_cold_candidates_makes_no_crumbs") {
+    candidates.pop_back();
+    for (const char* id : {"e", "f"}) {
+        candidates.push_back(candidate(id));
+        candidates.back().warm = false;
+    }
+    CHECK(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}).size() <= 3);
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_a_newcomer_gives_it_a_part_of_one_range") {
+    candidates.push_back(candidate("e"));
+    const auto moves = cw_plan_key_moves(table, candidates, even_sums(), 0.0, {});
+    REQUIRE(moves.size() == 1);
+    CHECK(moves.front().to.id == "e");
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_busy_neighbours_takes_part_of_them_to_the_least_used") {
+    cw_key_load load{2s};
+    std::vector<cw_key_count> counts;
+    for (std::uint32_t key = 100; key < 200; ++key) {
+        counts.push_back({key, 10});
+    }
+    load.on_report(counts, start);
+    cw_key_plan_options options;
+    const auto moves =
+        cw_plan_key_moves(table, candidates, load.sums(start), load.total(start), options);
+    REQUIRE_FALSE(moves.empty());
+    CHECK(moves.size() <= options.most_moves);
+    for (const auto& move : moves) {
+        CHECK(move.last < 16'384);
+    }
+}
+
+TEST_CASE_FIXTURE(quartered, "plan_for_one_overwhelming_key_leaves_it_where_it_is") {
+    cw_key_load load{2s};
+    load.on_report({{500, 1'000}}, start);
+    for (const auto& move :
+         cw_plan_key_moves(table, candidates, load.sums(start), load.total(start), {})) {
+        CHECK_FALSE((move.first <= 500 && 500 <= move.last));
+    }
+}
+
+TEST_CASE("key_table_written_and_read_again_is_the_same") {
+    quartered made;
+    made.table.steward = {"h", 7, "h:1"};
+    made.table.predecessors = {{"g", 3, "g:1"}};
+    made.table.apply({{100, 200, {"d", 1, "d:1"}}});
+    const auto read = cw_key_table::parse(made.table.to_text());
+    REQUIRE(read);
+    CHECK(read->ranges == made.table.ranges);
+    CHECK(read->predecessors == made.table.predecessors);
+    CHECK(read->range_of(150).is_moving());
+    CHECK(read->range_of(150).before.front().id == "a");
+    for (const char* spoilt : {"", "{}", "[]", R"({"term":1})"}) {
+        CHECK_FALSE(cw_key_table::parse(spoilt));
+    }
+}
+
+TEST_CASE("picker_prefers_the_own_domain_while_it_answers_in_good_time") {
+    const std::vector<cw_upstream_entry> upstreams{entry("far", 1, "other"), entry("near", 1, "z")};
+    std::map<std::string, cw_upstream_meter> meters;
+    const auto meter_of = [&](const cw_upstream_entry& upstream) -> const cw_upstream_meter& {
+        return meters[upstream.id];
+    };
+    const auto answered = [&](const char* id, std::chrono::milliseconds latency) {
+        meters[id].on_sent();
+        meters[id].on_answer(latency, std::nullopt, start);
+    };
+    answered("far", 10ms);
+    answered("near", 100ms);
+    const cw_pick_wish wish{"z", 250ms, nullptr, 0};
+    CHECK(cw_pick_upstream(upstreams, wish, meter_of, start)->id == "near");
+    const cw_pick_wish hurried{"z", 50ms, nullptr, 0};
+    CHECK(cw_pick_upstream(upstreams, hurried, meter_of, start)->id == "far");
+}
+
+TEST_CASE("picker_passes_over_what_was_tried_or_failed_a_moment_ago") {
+    const std::vector<cw_upstream_entry> upstreams{entry("a", 1), entry("b", 1)};
+    std::map<std::string, cw_upstream_meter> meters;
+    const auto meter_of = [&](const cw_upstream_entry& upstream) -> const cw_upstream_meter& {
+        return meters[upstream.id];
+    };
+    const std::vector<std::string> tried{"a"};
+    CHECK(cw_pick_upstream(upstreams, {"z", 1s, &tried, 0}, meter_of, start)->id == "b");
+    const std::vector<std::string> both{"a", "b"};
+    CHECK(cw_pick_upstream(upstreams, {"z", 1s, &both, 0}, meter_of, start) == nullptr);
+    for (int i = 0; i < 2; ++i) {
+        meters["b"].on_sent();
+        meters["b"].on_failure(start);
+    }
+    for (std::uint64_t draw = 0; draw < 4; ++draw) {
+        CHECK(cw_pick_upstream(upstreams, {"z", 1s, nullptr, draw}, meter_of, start)->id == "a");
+    }
+    CHECK(cw_pick_upstream(upstreams, {"z", 1s, &tried, 0}, meter_of, start)->id == "b");
+}
+
+TEST_CASE("meter_expects_a_wait_when_all_slots_are_taken") {
+    cw_upstream_meter meter;
+    meter.on_sent();
+    meter.on_answer(100ms, cw_load_word{3, 6, 3}, start);
+    CHECK(meter.expected_time(3, start) > 2 * meter.service_time());
+    // What others had there is forgotten with time.
+    CHECK(meter.expected_time(3, start + 10s) < 2 * meter.service_time());
+}
+
+TEST_CASE("settings_with_several_mistakes_name_them_all") {
+    const auto read = cw_read_gateway_settings(
+        R"({"host": "", "domain": 5, "listen": "x", "admin": "127.0.0.1:1", "peer_port": 0,
+            "store": "127.0.0.1:9", "retry_share": 7})");
+    REQUIRE_FALSE(read);
+    std::set<std::string> named;
+    for (const auto& mistake : read.error()) {
+        named.insert(mistake.substr(0, mistake.find(':')));
+    }
+    CHECK(named == std::set<std::string>{"host", "domain", "listen", "peer_port", "retry_share"});
+    CHECK_FALSE(cw_read_gateway_settings("no json"));
+}
+
+TEST_CASE("settings_in_order_are_taken_and_unknown_names_passed_over") {
+    const auto read = cw_read_gateway_settings(
+        R"({"host": "h", "domain": "z", "listen": "127.0.0.1:5", "admin": "127.0.0.1:6", "new": 1,
+            "peer_port": 7, "store": "127.0.0.1:9", "stop_grace_s": 6.5, "longest_lease_s": 0.4})");
+    REQUIRE(read);
+    CHECK(read->peers.port == 7);
+    CHECK(read->stop_grace == 6'500ms);
+    CHECK(read->ownership.lease == 400ms);
+}
--- /dev/null
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -0,0 +1,260 @@
+#include "cw_gateway_call.h"
+#include "cw_raw_caller.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string named = "X-Cuminwinch-Attempt-Id: r1\r\nX-Cuminwinch-Request-Timeout-Ms: 900\r\n";
+const std::string signature = "X-Cuminwinch-Response-Signature: s\r\n";
+const std::string not_run = "X-Cuminwinch-Not-Executed: 1\r\n";
+
+cw_raw_upstream::script always(const std::string& status, const std::string& fields,
+                               const std::string& body) {
+    return [=](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(request, status, fields, body)};
+    };
+}
+
+cw_raw_upstream::script fine() {
+    return always("200 OK", signature, "fine");
+}
+
+/// Answers with these bytes and ends the connection.
+cw_raw_upstream::script bytes(const std::string& text) {
+    return [=](const std::string&) { return cw_raw_upstream::reply{text, true}; };
+}
+
+std::string body_of(const std::string& message) {
+    const auto at = message.find("\r\n\r\n");
+    return at == std::string::npos ? std::string{} : message.substr(at + 4);
+}
+
+/// A refusal is only true if no upstream has run the request.
+void check_refused(const std::string& seen) {
+    CHECK(cw_status_of(seen) == 503);
+    CHECK(std::stod(cw_field_of(seen, "Retry-After")) > 0.0);
+    CHECK(cw_field_of(seen, "X-Cuminwinch-Response-Signature").empty());
+}
+
+} // namespace
+
+TEST_CASE("request_forwarded_names_its_upstream_and_the_time_left") {
+    std::string arrived;
+    cw_gateway_call gateway{{[&](const std::string& request) {
+        arrived = request;
+        return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "fine")};
+    }}};
+    const auto seen = gateway.call("POST", "/order/a?b=c", named + "X-Other: kept\r\n", "body");
+    CHECK(cw_status_of(seen) == 200);
+    CHECK(body_of(seen) == "fine");
+    CHECK(cw_field_of(seen, "X-Cuminwinch-Response-Signature") == "s");
+    CHECK(arrived.starts_with("POST /order/a?b=c HTTP/1.1\r\n"));
+    CHECK(cw_field_of(arrived, "Host") == "shop.example");
+    CHECK(cw_field_of(arrived, "X-Other") == "kept");
+    CHECK(cw_field_of(arrived, "X-Cuminwinch-Attempt-Id") == "r1");
+    CHECK(cw_field_of(arrived, "X-Cuminwinch-Expected-Instance") == "u0");
+    const auto left = std::stoi(cw_field_of(arrived, "X-Cuminwinch-Request-Timeout-Ms"));
+    CHECK(left <= 900);
+    CHECK(left > 700);
+    CHECK(body_of(arrived) == "body");
+}
+
+TEST_CASE("request_without_a_configuration_is_refused_and_never_not_found") {
+    cw_gateway_call gateway{{fine()}};
+    gateway.forget_config();
+    check_refused(gateway.call("GET", "/safe/a", named));
+    check_refused(gateway.call("GET", "/nowhere/a", named));
+}
+
+TEST_CASE("request_on_an_unknown_path_or_host_is_not_found") {
+    cw_gateway_call gateway{{fine()}};
+    CHECK(cw_status_of(gateway.call("GET", "/nowhere/a", named)) == 404);
+    CHECK(cw_status_of(gateway.call("GET", "/safe", named)) == 404);
+    CHECK(cw_status_of(cw_send_raw(gateway.port(),
+                                   {"GET /safe/a HTTP/1.1\r\nHost: other.example\r\n\r\n"}, 0ms,
+                                   300ms)) == 404);
+}
+
+TEST_CASE("request_that_an_upstream_did_not_run_is_run_by_another") {
+    cw_gateway_call gateway{{always("503 Busy", not_run, ""), fine()}};
+    int answered = 0;
+    for (int i = 0; i < 6; ++i) {
+        answered += cw_status_of(gateway.call("POST", "/order/a", named, "x")) == 200 ? 1 : 0;
+    }
+    CHECK(answered == 6);
+    CHECK(gateway.upstream(1).requests() == 6);
+}
+
+TEST_CASE("request_that_no_upstream_ran_is_refused_with_the_time_to_come_back") {
+    cw_gateway_call gateway{{always("503 Busy", not_run, ""), always("429 Many", not_run, "")}};
+    check_refused(gateway.call("POST", "/order/a", named, "x"));
+    check_refused(gateway.call("GET", "/safe/a", named));
+}
+
+TEST_CASE("request_not_repeatable_that_may_have_run_is_neither_sent_again_nor_refused") {
+    const std::vector<cw_raw_upstream::script> broken{
+        bytes(""), bytes("HTTP/1.1 200 OK\r\nContent-Le"), bytes("garbage\r\n\r\n"),
+        always("503 Busy", "", ""), always("429 Many", "", "")};
+    for (const auto& script : broken) {
+        cw_gateway_call gateway{{script, script}};
+        const auto seen = gateway.call("POST", "/order/a", named, "x");
+        CHECK(cw_status_of(seen) == 502);
+        CHECK(gateway.upstream(0).requests() + gateway.upstream(1).requests() == 1);
+    }
+}
+
+TEST_CASE("request_repeatable_whose_answer_is_broken_is_run_by_another") {
+    const std::vector<std::string> broken{"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+                                          "garbage\r\n\r\n"};
+    for (const auto& text : broken) {
+        cw_gateway_call gateway{{bytes(text), fine()}};
+        // The first request may go to either; two in a row meet the broken one once at least.
+        for (int i = 0; i < 3; ++i) {
+            CHECK(cw_status_of(gateway.call("GET", "/safe/a", named)) == 200);
+        }
+    }
+}
+
+TEST_CASE("answer_of_another_request_is_passed_over_and_the_own_one_passed_on") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        const std::string late = "HTTP/1.1 200 OK\r\nX-Cuminwinch-Attempt-Id: other\r\n" +
+                                 signature + "Content-Length: 5\r\n\r\nwrong";
+        return cw_raw_upstream::reply{late +
+                                      cw_upstream_answer(request, "200 OK", signature, "right")};
+    }}};
+    const auto seen = gateway.call("POST", "/order/a", named, "x");
+    CHECK(cw_status_of(seen) == 200);
+    CHECK(body_of(seen) == "right");
+}
+
+TEST_CASE("answer_with_bytes_behind_it_is_passed_on_and_its_connection_dropped") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "right") +
+                                      "HTTP/1.1 200 OK\r\n"};
+    }}};
+    for (int i = 0; i < 3; ++i) {
+        CHECK(body_of(gateway.call("POST", "/order/a", named, "x")) == "right");
+    }
+    CHECK(gateway.metrics().exposition().find("upstream_connections_total 3") != std::string::npos);
+}
+
+TEST_CASE("answer_of_200_without_signature_or_encoded_is_not_passed_on") {
+    for (const auto& fields : {std::string{}, signature + "Content-Encoding: gzip\r\n"}) {
+        cw_gateway_call gateway{{always("200 OK", fields, "odd")}};
+        CHECK(cw_status_of(gateway.call("POST", "/order/a", named, "x")) == 502);
+    }
+}
+
+TEST_CASE("failure_that_an_upstream_ran_is_passed_on_with_its_status") {
+    cw_gateway_call gateway{{always("500 Oops", signature, "sorry")}};
+    const auto seen = gateway.call("POST", "/order/a", named, "x");
+    CHECK(cw_status_of(seen) == 500);
+    CHECK(cw_field_of(seen, "X-Cuminwinch-Response-Signature") == "s");
+    CHECK(body_of(seen) == "sorry");
+}
+
+TEST_CASE("request_unanswered_at_its_time_limit_gets_504_at_once") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "late"),
+                                      false, 3s};
+    }}};
+    const auto begin = std::chrono::steady_clock::now();
+    const auto seen = gateway.call(
+        "POST", "/order/a",
+        "X-Cuminwinch-Attempt-Id: r1\r\nX-Cuminwinch-Request-Timeout-Ms: 300\r\n", "x");
+    CHECK(cw_status_of(seen) == 504);
+    CHECK(std::chrono::steady_clock::now() - begin < 1s);
+}
+
+TEST_CASE("caller_that_leaves_has_its_request_cancelled") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "late"),
+                                      false, 2s};
+    }}};
+    static_cast<void>(cw_send_raw(
+        gateway.port(), {"GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + named + "\r\n"}, 100ms,
+        0ms));
+    const auto until = std::chrono::steady_clock::now() + 500ms;
+    while (gateway.upstream(0).cancelled() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(gateway.upstream(0).cancelled() == 1);
+}
+
+TEST_CASE("request_for_a_key_goes_to_its_owner_only") {
+    cw_gateway_call gateway{{fine(), fine()}};
+    gateway.give_keys(1, false);
+    for (int i = 0; i < 4; ++i) {
+        CHECK(cw_status_of(
+                  gateway.call("GET", "/key/a", named + "X-Cuminwinch-Shard-Key: 77\r\n")) == 200);
+    }
+    CHECK(gateway.upstream(0).requests() == 0);
+    CHECK(gateway.upstream(1).requests() == 4);
+}
+
+TEST_CASE("request_for_a_key_that_is_moving_waits_for_its_new_owner") {
+    cw_gateway_call gateway{{fine(), fine()}};
+    gateway.give_keys(1, true);
+    std::jthread settles{[&] {
+        std::this_thread::sleep_for(100ms);
+        gateway.give_keys(1, false);
+    }};
+    CHECK(cw_status_of(gateway.call("GET", "/key/a", named + "X-Cuminwinch-Shard-Key: 77\r\n")) ==
+          200);
+    CHECK(gateway.upstream(1).requests() == 1);
+}
+
+TEST_CASE("request_for_a_key_that_moves_for_long_is_refused_before_its_time_is_up") {
+    cw_gateway_call gateway{{fine()}};
+    gateway.give_keys(0, true);
+    const auto begin = std::chrono::steady_clock::now();
+    check_refused(gateway.call("GET", "/key/a", named + "X-Cuminwinch-Shard-Key: 77\r\n"));
+    CHECK(std::chrono::steady_clock::now() - begin < 500ms);
+    CHECK(gateway.upstream(0).requests() == 0);
+}
+
+TEST_CASE("request_that_its_owner_does_not_hold_is_sent_to_the_next_owner") {
+    cw_gateway_call gateway{{always("421 Misdirected", not_run, ""), fine()}};
+    std::jthread moves{[&] {
+        std::this_thread::sleep_for(100ms);
+        gateway.give_keys(1, false);
+    }};
+    CHECK(cw_status_of(gateway.call("GET", "/key/a", named + "X-Cuminwinch-Shard-Key: 77\r\n")) ==
+          200);
+    CHECK(gateway.upstream(0).requests() == 1);
+    CHECK(gateway.upstream(1).requests() == 1);
+}
+
+TEST_CASE("request_for_a_key_whose_owner_is_full_is_refused_after_one_attempt") {
+    cw_gateway_call gateway{{always("503 Busy", not_run, ""), fine()}};
+    check_refused(gateway.call("GET", "/key/a", named + "X-Cuminwinch-Shard-Key: 77\r\n"));
+    CHECK(gateway.upstream(0).requests() == 1);
+    CHECK(gateway.upstream(1).requests() == 0);
+}
+
+TEST_CASE("request_for_no_key_on_a_keyed_route_is_refused_and_reaches_nobody") {
+    cw_gateway_call gateway{{fine()}};
+    for (const char* key :
+         {"", "X-Cuminwinch-Shard-Key: x\r\n", "X-Cuminwinch-Shard-Key: 65536\r\n",
+          "X-Cuminwinch-Shard-Key: -1\r\n"}) {
+        CHECK(cw_status_of(gateway.call("GET", "/key/a", named + key)) >= 400);
+    }
+    CHECK(gateway.upstream(0).requests() == 0);
+}
+
+TEST_CASE("connection_kept_serves_one_request_after_the_other") {
+    cw_gateway_call gateway{{fine()}};
+    const std::string request = "GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + named + "\r\n";
+    const auto seen = cw_send_raw(gateway.port(), {request + request + request}, 0ms, 500ms);
+    std::size_t count = 0;
+    for (auto at = seen.find("HTTP/1.1 200"); at != std::string::npos;
+         at = seen.find("HTTP/1.1 200", at + 1)) {
+        ++count;
+    }
+    CHECK(count == 3);
+    CHECK(gateway.metrics().exposition().find("upstream_connections_total 1") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/Gateway/cw_gateway_call.cpp
@@ -0,0 +1,136 @@
+#include "cw_gateway_call.h"
+
+#include "cw_gateway_session.h"
+#include "cw_platform_dialect.h"
+#include "cw_raw_caller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <stdexcept>
+
+namespace net = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+cw_site_route route(const std::string& name, bool repeatable) {
+    cw_site_route made;
+    made.name = name;
+    made.host = "shop.example";
+    made.prefix = "/" + name + "/";
+    made.parts = {{name, 1}};
+    made.repeatable = repeatable;
+    made.most_attempts = 2;
+    made.timeout = 2s;
+    made.target = 1s;
+    return made;
+}
+
+std::shared_ptr<const cw_site_config> make_config() {
+    cw_caller_limits limits;
+    limits.header_bytes = 4'096;
+    limits.body_bytes = 10'000;
+    limits.header_time = 400ms;
+    limits.idle_time = 1s;
+    auto config = cw_site_config::make(
+        1, limits, {route("safe", true), route("order", false), route("key", true)},
+        {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
+    if (!config) {
+        throw std::logic_error(config.error().text());
+    }
+    return std::make_shared<const cw_site_config>(std::move(*config));
+}
+
+} // namespace
+
+cw_gateway_call::cw_gateway_call(std::vector<cw_raw_upstream::script> upstreams)
+    : traffic_{options_, metrics_},
+      acceptor_{traffic_.context(), {net::ip::address_v4::loopback(), 0}},
+      port_{acceptor_.local_endpoint().port()} {
+    for (auto& script : upstreams) {
+        upstreams_.push_back(std::make_unique<cw_raw_upstream>(std::move(script)));
+    }
+    view_ = make_view();
+    give_keys(0, false);
+    net::co_spawn(traffic_.context(), accept(), net::detached);
+    thread_ = std::jthread{[this] { traffic_.context().run(); }};
+}
+
+cw_gateway_call::~cw_gateway_call() {
+    traffic_.context().stop();
+}
+
+net::awaitable<void> cw_gateway_call::accept() {
+    while (true) {
+        auto socket = co_await acceptor_.async_accept(net::use_awaitable);
+        using session = cw_gateway_session<cw_platform_dialect>;
+        net::co_spawn(traffic_.context(),
+                      session::run(std::make_unique<session>(traffic_, std::move(socket))),
+                      net::detached);
+    }
+}
+
+std::shared_ptr<cw_gateway_view> cw_gateway_call::make_view() const {
+    auto view = std::make_shared<cw_gateway_view>();
+    view->config = make_config();
+    for (std::size_t place = 0; place < upstreams_.size(); ++place) {
+        for (const char* service : {"safe", "order", "key"}) {
+            cw_upstream_entry entry;
+            entry.id = "u" + std::to_string(place);
+            entry.service = service;
+            entry.address = upstreams_[place]->address();
+            entry.slots = 3;
+            entry.life = 1;
+            view->upstreams[service].push_back(entry);
+        }
+    }
+    return view;
+}
+
+void cw_gateway_call::give_keys(std::size_t place, bool is_moving) {
+    cw_key_table table;
+    table.term = 1;
+    table.edition = edition_++;
+    table.last_fence = table.edition;
+    auto& range = table.ranges.front();
+    range.owner = {"u" + std::to_string(place), 1, upstreams_.at(place)->address()};
+    range.fence = table.edition;
+    if (is_moving) {
+        range.before = {{"gone", 1, "127.0.0.1:1"}};
+    }
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->tables["key"] = std::make_shared<const cw_key_table>(std::move(table));
+    view_ = view;
+    traffic_.publish(view);
+}
+
+void cw_gateway_call::forget_config() {
+    traffic_.publish(std::make_shared<const cw_gateway_view>());
+}
+
+std::string cw_gateway_call::call(const std::string& method, const std::string& path,
+                                  const std::string& fields, const std::string& body) {
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\n" + fields;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    text += "Connection: close\r\n\r\n" + body;
+    return cw_send_raw(port_, {text}, 0ms, 5s);
+}
+
+std::string cw_field_of(const std::string& message, const std::string& name) {
+    const auto at = message.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 4;
+    return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+std::string cw_upstream_answer(const std::string& request, const std::string& status,
+                               const std::string& fields, const std::string& body) {
+    return "HTTP/1.1 " + status +
+           "\r\nX-Cuminwinch-Attempt-Id: " + cw_field_of(request, "X-Cuminwinch-Attempt-Id") +
+           "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
--- /dev/null
+++ b/Tests/Gateway/cw_gateway_call.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cw_gateway_options.h"
+#include "cw_gateway_traffic.h"
+#include "cw_raw_upstream.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// The traffic of a gateway in this process, with raw upstreams in place of real ones.
+///
+/// The host name "shop.example" has three routes: /safe/ (repeatable), /order/ (not repeatable) and
+/// /key/ (keyed). Each upstream serves all three services under the ids u0, u1 and so on; keys
+/// belong to u0.
+class cw_gateway_call {
+public:
+    explicit cw_gateway_call(std::vector<cw_raw_upstream::script> upstreams);
+    ~cw_gateway_call();
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] cw_raw_upstream& upstream(std::size_t place) { return *upstreams_.at(place); }
+    [[nodiscard]] cw_gateway_metrics& metrics() { return metrics_; }
+    /// Publishes a table in which keys belong to the upstream given, settled or still moving.
+    void give_keys(std::size_t place, bool is_moving);
+    /// Takes the configuration away, as before the first read.
+    void forget_config();
+    /// Sends one request with the header fields given and returns everything that comes back.
+    [[nodiscard]] std::string call(const std::string& method, const std::string& path,
+                                   const std::string& fields, const std::string& body = {});
+
+private:
+    boost::asio::awaitable<void> accept();
+    [[nodiscard]] std::shared_ptr<cw_gateway_view> make_view() const;
+
+    std::vector<std::unique_ptr<cw_raw_upstream>> upstreams_;
+    cw_gateway_options options_;
+    cw_gateway_metrics metrics_;
+    cw_gateway_traffic traffic_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_ = 0;
+    std::uint64_t edition_ = 1;
+    std::shared_ptr<cw_gateway_view> view_;
+    std::jthread thread_;
+};
+
+/// An answer of an upstream of the platform to the request's text: status line, echoed id,
+/// signature and further header lines, and the body with its length.
+[[nodiscard]] std::string cw_upstream_answer(const std::string& request, const std::string& status,
+                                             const std::string& fields, const std::string& body);
+
+/// The value of a header field in a message's text; empty when it is absent.
+[[nodiscard]] std::string cw_field_of(const std::string& message, const std::string& name);
--- a/Tests/Routing/cw_routed_call.h
+++ b/Tests/Routing/cw_routed_call.h
@@ -32,6 +32,7 @@
     void call_and_leave(const std::string& target, std::chrono::milliseconds after);
 
     [[nodiscard]] cw_raw_upstream& upstream() { return *upstream_; }
+    [[nodiscard]] std::uint16_t port() const { return listen_.port; }
     [[nodiscard]] cw_router_shared& shared() { return shared_; }
 
 private:
