--- a/Source/cuminwinch_gateway.cpp
+++ b/Source/cuminwinch_gateway.cpp
@@ -2,14 +2,11 @@
 /// upstream that owns its key; together with the other hosts' gateways it decides who that is.
 
 #include "cw_gateway.h"
-#include "cw_gateway_settings.h"
 #include "cw_platform.h"
 #include "cw_settings.h"
 
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace {
 
@@ -28,9 +25,8 @@
     if (const auto code = settings.parse(argc, argv)) {
         return *code;
     }
-    std::ifstream file{settings.text("settings")};
-    const std::string text{std::istreambuf_iterator<char>{file}, {}};
-    const auto options = cw_read_gateway_settings(text);
+    cw_settings_file file{settings.text("settings")};
+    const auto options = file.read();
     if (!options) {
         for (const auto& mistake : options.error()) {
             std::cerr << "cuminwinch-gateway: " << settings.text("settings") << ": " << mistake
@@ -40,7 +36,7 @@
     }
     cw_log::set_up(cw_log::parse_level(settings.text("log-level")));
     try {
-        cw_gateway<cw_platform> gateway{*options};
+        cw_gateway<cw_platform> gateway{*options, file};
         gateway.run();
     } catch (const std::exception& failure) {
         std::cerr << "cuminwinch-gateway: start: " << failure.what() << '\n';
--- a/Source/cw_attempt_runner.cpp
+++ b/Source/cw_attempt_runner.cpp
@@ -23,8 +23,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto connect_timeout = 250ms;
-/// Time that a dying process may take between the ends of its connections.
-constexpr auto ending_time = 150ms;
 
 auto now() {
     return std::chrono::steady_clock::now();
@@ -104,25 +102,6 @@
     co_return upstream;
 }
 
-net::awaitable<bool> cw_attempt_runner::is_upstream_dead(const cw_proxy_exchange& current) {
-    const auto endpoint = cw_address::parse(current.address);
-    if (!endpoint) {
-        co_return false;
-    }
-    const auto probe = traffic_.pool.make();
-    boost::system::error_code failure;
-    const cw_deadline_sweeper::guard connecting{traffic_.sweeper, *probe, now() + connect_timeout};
-    co_await probe->async_connect(endpoint->tcp(), cw_into(failure));
-    if (failure) {
-        co_return failure == net::error::connection_refused;
-    }
-    // A process that is ending closes its connections one after the other; its listening socket may
-    // be the last and still take the probe, which is then reset.
-    const cw_deadline_sweeper::guard ending{traffic_.sweeper, *probe, now() + ending_time};
-    co_await probe->async_wait(net::ip::tcp::socket::wait_read, cw_into(failure));
-    co_return !failure;
-}
-
 net::awaitable<cw_attempt_result> cw_attempt_runner::send_and_receive(cw_proxy_exchange& current,
                                                                       stream& upstream) {
     cw_deadline_sweeper::guard waiting{traffic_.sweeper, upstream, current.deadline};
--- a/Source/cw_attempt_runner.h
+++ b/Source/cw_attempt_runner.h
@@ -28,8 +28,6 @@
           caller_buffer_{caller_buffer} {}
 
     boost::asio::awaitable<cw_attempt_result> run(cw_proxy_exchange& current);
-    /// True when nothing listens at the exchange's upstream any more.
-    boost::asio::awaitable<bool> is_upstream_dead(const cw_proxy_exchange& current);
 
 private:
     using stream = cw_upstream_pool::stream;
--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -5,7 +5,10 @@
 #include "cw_steward_event.h"
 #include "cw_upstream_entry.h"
 
+#include <chrono>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,16 +44,23 @@
     std::string service;
     cw_key_table table;
     std::uint32_t hosts = 1;
+    /// Requests that crashed upstreams, with the number of crashes; nothing from a steward that
+    /// does not gather them.
+    std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
 };
 /// Requests for keys that this host took since its last report.
 struct cw_local_load {
     std::string service;
     std::vector<cw_key_count> counts;
 };
+/// Bounds of ownership from settings that have changed.
+struct cw_ownership_bounds {
+    std::chrono::milliseconds tenure{};
+};
 /// The process was told to stop.
 struct cw_stop_asked {};
 
 using cw_control_event =
     std::variant<cw_clock_tick, cw_config_seen, cw_upstreams_listed, cw_upstreams_changed,
                  cw_store_disturbed, cw_ownership_event, cw_steward_answer, cw_host_report,
-                 cw_local_load, cw_stop_asked>;
+                 cw_local_load, cw_crash_note, cw_ownership_bounds, cw_stop_asked>;
--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -4,6 +4,7 @@
 #include "cw_gateway_io.h"
 #include "cw_gateway_session.h"
 #include "cw_query.h"
+#include "cw_settings_file.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <caf/event_based_actor.hpp>
@@ -15,8 +16,9 @@
 class cw_gateway {
 public:
     /// Binds all addresses; throws boost::system::system_error when one is taken.
-    explicit cw_gateway(cw_gateway_options options)
+    cw_gateway(cw_gateway_options options, cw_settings_file file)
         : options_{std::move(options)},
+          file_{std::move(file)},
           self_{options_.host, incarnation_now(), address_text(options_.peers)},
           traffic_{options_, metrics_},
           acceptor_{traffic_.context()},
@@ -35,6 +37,7 @@
         start_services();
         admin_.start();
         io_.start();
+        boost::asio::co_spawn(context_, follow_settings(), boost::asio::detached);
         boost::asio::co_spawn(traffic_.context(), accept(), boost::asio::detached);
         std::jthread traffic{[this] { traffic_.context().run(); }};
         boost::asio::signal_set stops{context_, SIGTERM, SIGINT};
@@ -64,6 +67,7 @@
     /// Part of the stop's time that is kept for the end itself.
     static constexpr milliseconds end_reserve{500};
     static constexpr milliseconds stop_poll{20};
+    static constexpr milliseconds settings_interval{1'000};
 
     static std::uint64_t incarnation_now() {
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
@@ -109,11 +113,40 @@
         reloads.async_wait([this, &reloads](const boost::system::error_code& failure, int) {
             if (!failure) {
                 log_.info("Asked to reload.", {{"host", options_.host}});
+                reload();
                 wait_for_reload(reloads);
             }
         });
     }
 
+    /// The file may also change without a signal.
+    boost::asio::awaitable<void> follow_settings() {
+        while (true) {
+            co_await pause(settings_interval);
+            if (file_.has_changed()) {
+                reload();
+            }
+        }
+    }
+
+    void reload() {
+        const auto read = file_.read();
+        if (!read) {
+            for (const auto& mistake : read.error()) {
+                log_.warning("Settings are not taken.", {{"mistake", mistake}});
+            }
+            return;
+        }
+        options_.stop_grace = read->stop_grace;
+        traffic_.set_retry_bounds(read->retry_share, read->retry_slack);
+        io_.deliver(cw_ownership_bounds{read->ownership.tenure});
+        log_.info("Settings are in force.",
+                  {{"stop_grace_ms", std::to_string(read->stop_grace.count())},
+                   {"retry_share", std::to_string(read->retry_share)},
+                   {"retry_slack", std::to_string(read->retry_slack)},
+                   {"tenure_ms", std::to_string(read->ownership.tenure.count())}});
+    }
+
     boost::asio::awaitable<void> pause(milliseconds length) {
         boost::asio::steady_timer timer{context_, length};
         boost::system::error_code failure;
@@ -163,6 +196,7 @@
     }
 
     cw_gateway_options options_;
+    cw_settings_file file_;
     cw_steward_id self_;
     cw_log log_{"gateway"};
     cw_gateway_metrics metrics_;
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -7,6 +7,8 @@
 using namespace std::chrono_literals;
 /// Silence after which a host no longer counts as one that shares the retry budget.
 constexpr auto member_silence = 2s;
+/// Name of the table of a deployment without keyed services.
+constexpr const char* no_service = "no-keyed-service";
 } // namespace
 
 cw_gateway_control::cw_gateway_control(cw_steward_id self, cw_steward_options options,
@@ -30,6 +32,8 @@
         output.view = view_;
         changed_ = false;
     }
+    output.gathering_service = stewards_.empty() ? "" : stewards_.begin()->first;
+    output.crashes = std::exchange(untold_crashes_, {});
     output.commands = std::exchange(commands_, {});
     output.events = std::exchange(events_, {});
     return output;
@@ -61,12 +65,23 @@
     config_ = event.config;
     changed_ = true;
     for (const auto& [name, service] : config_->services()) {
-        if (service.keyed && !stewards_.contains(name)) {
-            const auto seed = seed_ + stewards_.size();
-            stewards_.emplace(name, std::make_unique<cw_steward>(name, self_, options_, seed));
-            stewards_.at(name)->on_upstreams(directory_.entries(), now);
+        if (service.keyed) {
+            add_steward(name, now);
         }
     }
+    // Hosts count each other by their reports to a steward, so there is one even without keys.
+    if (stewards_.empty()) {
+        add_steward(no_service, now);
+    }
+}
+
+void cw_gateway_control::add_steward(const std::string& service, cw_boot_time now) {
+    if (stewards_.contains(service)) {
+        return;
+    }
+    auto steward = std::make_unique<cw_steward>(service, self_, options_, seed_ + stewards_.size());
+    steward->on_upstreams(directory_.entries(), now);
+    stewards_.emplace(service, std::move(steward));
 }
 
 void cw_gateway_control::on(const cw_upstreams_listed& event, cw_boot_time now) {
@@ -130,6 +145,10 @@
             hosts_ = event.hosts;
             changed_ = true;
         }
+        if (event.crashes && *event.crashes != told_crashes_) {
+            told_crashes_ = *event.crashes;
+            changed_ = true;
+        }
     }
 }
 
@@ -141,6 +160,42 @@
     if (auto* steward = steward_of(event.service)) {
         steward->on_load(event.counts, now);
     }
+    for (const auto& crash : event.crashes) {
+        keep_crash(crash, now);
+    }
+}
+
+bool cw_gateway_control::gathers() const {
+    return !stewards_.empty() && stewards_.begin()->second->is_steward();
+}
+
+bool cw_gateway_control::keep_crash(const cw_crash_note& crash, cw_boot_time now) {
+    if (!gathers()) {
+        return false;
+    }
+    const bool news = crash.answered ? ledger_.on_answer(crash.fingerprint)
+                                     : ledger_.on_crash(crash.fingerprint, crash.address,
+                                                        cw_time_point{now.time_since_epoch()});
+    if (news) {
+        changed_ = true;
+        note(crash.answered ? "request cleared" : "request crashed an upstream",
+             std::to_string(crash.fingerprint),
+             crash.address + " crashes " + std::to_string(ledger_.crashes(crash.fingerprint)));
+    }
+    return true;
+}
+
+void cw_gateway_control::on(const cw_crash_note& event, cw_boot_time now) {
+    if (!keep_crash(event, now)) {
+        untold_crashes_.push_back(event);
+    }
+}
+
+void cw_gateway_control::on(const cw_ownership_bounds& event, cw_boot_time /*now*/) {
+    options_.tenure = std::max(options_.tenure, event.tenure);
+    for (auto& [service, steward] : stewards_) {
+        steward->set_tenure(event.tenure);
+    }
 }
 
 void cw_gateway_control::on(const cw_local_load& event, cw_boot_time now) {
@@ -186,6 +241,7 @@
     view->config = config_;
     view->hosts = hosts_;
     view->stopping = stopping_;
+    view->crashes = gathers() ? ledger_.all() : told_crashes_;
     for (const auto& [id, entry] : directory_.entries()) {
         if (!entry.leaving) {
             view->upstreams[entry.service].push_back(entry);
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_control_event.h"
+#include "cw_crash_ledger.h"
 #include "cw_gateway_view.h"
 #include "cw_steward.h"
 #include "cw_upstream_directory.h"
@@ -18,6 +19,9 @@
     std::vector<cw_timeline_event> events;
     /// Services whose steward is to be reported to, with the steward; all of them each time.
     std::map<std::string, cw_steward_id> stewards;
+    /// The service whose steward gathers crashes, and crashes to report to it.
+    std::string gathering_service;
+    std::vector<cw_crash_note> crashes;
 };
 
 /// The control state of one gateway: configuration, upstreams and the ownership of keys.
@@ -40,9 +44,16 @@
     void on(const cw_steward_answer& event, cw_boot_time now);
     void on(const cw_host_report& event, cw_boot_time now);
     void on(const cw_local_load& event, cw_boot_time now);
+    void on(const cw_crash_note& event, cw_boot_time now);
+    void on(const cw_ownership_bounds& event, cw_boot_time now);
     void on(const cw_stop_asked& event, cw_boot_time now);
 
     void after_upstreams(bool changed, cw_boot_time now);
+    void add_steward(const std::string& service, cw_boot_time now);
+    /// Adds a crash to the ledger of all hosts if this host keeps it; true when it does.
+    bool keep_crash(const cw_crash_note& crash, cw_boot_time now);
+    /// True when this host is the steward that gathers crashes: that of the first service.
+    [[nodiscard]] bool gathers() const;
     void count_hosts(cw_boot_time now);
     void note(std::string what, std::string subject, std::string detail);
     [[nodiscard]] std::shared_ptr<const cw_gateway_view> make_view() const;
@@ -57,7 +68,14 @@
     std::map<std::string, std::unique_ptr<cw_steward>> stewards_;
     /// Hosts that have reported here, with the moment of their last report.
     std::map<std::string, cw_boot_time> members_;
-    std::uint32_t hosts_ = 1;
+    /// Hosts that share the budgets. Until a steward has told, many are assumed.
+    std::uint32_t hosts_ = assumed_hosts;
+    static constexpr std::uint32_t assumed_hosts = 8;
+    cw_crash_ledger ledger_{cw_crash_options{}};
+    /// The ledger of the steward that gathers crashes, as it told last.
+    std::map<std::uint64_t, std::uint32_t> told_crashes_;
+    /// Crashes seen by this host that the gathering steward has not been told of.
+    std::vector<cw_crash_note> untold_crashes_;
     bool stopping_ = false;
     bool changed_ = false;
     bool store_lost_ = false;
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -47,6 +47,10 @@
                   [this](cw_http_request request) { return take_report(std::move(request)); }} {}
 
     void start() {
+        traffic_.crashes().set_reporter(
+            [this](std::uint64_t fingerprint, const std::string& address, bool answered) {
+                deliver(cw_crash_note{fingerprint, address, answered});
+            });
         server_.start();
         spawn(follow_config());
         spawn(follow_upstreams());
@@ -71,8 +75,10 @@
                 spawn(report(service));
             }
         }
+        gathering_service_ = output.gathering_service;
+        untold_crashes_.insert(untold_crashes_.end(), output.crashes.begin(), output.crashes.end());
         for (const auto& command : output.commands) {
-            std::visit([this](const auto& what) { carry_out(what); }, command);
+            std::visit([this](const auto& what) { this->carry_out(what); }, command);
         }
     }
 
@@ -259,8 +265,10 @@
 
     nothing report_to(cw_steward_id steward, std::string service) {
         const auto known = view_ == nullptr ? nullptr : table_of(service);
-        const cw_host_report report{service, options_.host, self_.incarnation,
-                                    take_counts(service)};
+        cw_host_report report{service, options_.host, self_.incarnation, take_counts(service), {}};
+        if (service == gathering_service_) {
+            report.crashes = std::exchange(untold_crashes_, {});
+        }
         const auto target = "/v1/report?term=" + std::to_string(known ? known->term : 0) +
                             "&edition=" + std::to_string(known ? known->edition : 0);
         cw_http_request request{boost::beast::http::verb::post, target, 11};
@@ -268,6 +276,11 @@
         request.body() = report.to_text();
         const auto answer = co_await peer_http_.request(steward.address, std::move(request),
                                                         after(report_interval + report_grace));
+        const bool told = answer && take_answer(service, known, *answer);
+        if (!told) {
+            untold_crashes_.insert(untold_crashes_.end(), report.crashes.begin(),
+                                   report.crashes.end());
+        }
         if (!answer) {
             const bool refused = cw_is_refused(answer.error());
             deliver(
@@ -275,7 +288,7 @@
             co_await pause(report_grace);
             co_return;
         }
-        if (!take_answer(service, known, *answer)) {
+        if (!told) {
             deliver(cw_ownership_event{service, cw_contact::silent});
             co_await pause(report_grace);
         }
@@ -300,7 +313,11 @@
             }
             table = std::move(*read);
         }
-        deliver(cw_steward_answer{service, std::move(table), value.value("hosts", 1U)});
+        cw_steward_answer told{service, std::move(table), value.value("hosts", 1U), std::nullopt};
+        if (value.contains("crashes")) {
+            told.crashes = value["crashes"].get<std::map<std::uint64_t, std::uint32_t>>();
+        }
+        deliver(std::move(told));
         return true;
     }
 
@@ -345,6 +362,9 @@
         if (table != nullptr && table->is_after(known)) {
             answer["table"] = nlohmann::json::parse(table->to_text());
         }
+        if (report->service == gathering_service_ && view_ != nullptr) {
+            answer["crashes"] = view_->crashes;
+        }
         const bool leads = table != nullptr && table->steward == self_;
         co_return cw_make_response(leads ? http::status::ok : http::status::conflict,
                                    answer.dump());
@@ -369,6 +389,8 @@
     std::map<std::string, cw_steward_id> stewards_;
     std::map<std::string, std::vector<cw_key_count>> counts_;
     std::set<std::string> rejected_;
+    std::string gathering_service_;
+    std::vector<cw_crash_note> untold_crashes_;
     /// Reports that wait for a newer table.
     std::list<boost::asio::steady_timer*> waiting_;
     cw_http_server server_;
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -1,14 +1,18 @@
 #pragma once
 
+#include "cw_death_probe.h"
 #include "cw_gateway_attempt.h"
 #include "cw_gateway_options.h"
 #include "cw_hop_headers.h"
+#include "cw_key_hash.h"
 #include "cw_reject.h"
 #include "cw_request_check.h"
 #include "cw_socket_alarm.h"
 #include "cw_upstream_picker.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -196,6 +200,9 @@
                                                       cw_call_watch& watch) {
         cw_gateway_attempt<Dialect> attempt{traffic_, watch};
         while (true) {
+            if (is_refused_for_crashes(current)) {
+                co_return cw_attempt_result::refused_busy;
+            }
             if (!co_await choose(current, watch)) {
                 co_return watch.has_caller_left() ? cw_attempt_result::caller_left
                                                   : cw_attempt_result::refused_busy;
@@ -206,6 +213,7 @@
                 traffic_.metrics().count("retries");
             }
             const auto result = co_await attempt.run(current);
+            note_crash(current, result);
             ++current.state.attempts;
             current.state.may_have_run =
                 current.state.may_have_run || !cw_surely_did_not_run(result);
@@ -222,6 +230,51 @@
         }
     }
 
+    static std::uint64_t fingerprint_of(const cw_gateway_exchange& current) {
+        const auto method = current.request.method_string();
+        const auto target = current.request.target();
+        return cw_request_fingerprint({method.data(), method.size()},
+                                      {target.data(), target.size()}, current.request.body());
+    }
+
+    bool is_refused_for_crashes(cw_gateway_exchange& current) {
+        auto& crashes = traffic_.crashes();
+        if (!crashes.has_marks()) {
+            return false;
+        }
+        const auto until = crashes.refused_until(fingerprint_of(current));
+        if (now() >= until) {
+            return false;
+        }
+        current.reason = "this request has crashed every upstream that ran it";
+        current.come_back = std::chrono::ceil<milliseconds>(until - now());
+        return true;
+    }
+
+    /// Marks a request beside which its upstream died, and clears it once it was answered.
+    void note_crash(const cw_gateway_exchange& current, cw_attempt_result result) {
+        auto& crashes = traffic_.crashes();
+        if (result == cw_attempt_result::answered && crashes.has_marks()) {
+            crashes.on_answer(fingerprint_of(current));
+        }
+        if (result == cw_attempt_result::connection_lost) {
+            boost::asio::co_spawn(
+                traffic_.context(),
+                mark_if_dead(traffic_, fingerprint_of(current), current.upstream.address),
+                boost::asio::detached);
+        }
+    }
+
+    static boost::asio::awaitable<void>
+    mark_if_dead(cw_gateway_traffic& traffic, std::uint64_t fingerprint, std::string address) {
+        // The result is kept in a variable, since g++ 12 miscompiles a coroutine that consists of
+        // one condition that awaits.
+        const bool is_dead = co_await cw_is_dead(traffic.context(), address);
+        if (is_dead) {
+            traffic.crashes().on_crash(fingerprint, address, now());
+        }
+    }
+
     static bool may_go_on(const cw_gateway_exchange& current, cw_attempt_result result) {
         // Nobody but the owner can serve a key, and its queue is no shorter a moment later.
         if (current.fence != 0 && result == cw_attempt_result::refused_busy) {
@@ -256,9 +309,8 @@
 
     bool pick(cw_gateway_exchange& current) {
         const auto pool = current.view->upstreams.find(current.service);
-        const cw_pick_wish wish{traffic_.options().domain,
-                                current.route->target * good_part / whole_part, &current.tried,
-                                traffic_.draw()};
+        const cw_pick_wish wish{traffic_.domain(), current.route->target * good_part / whole_part,
+                                &current.tried, traffic_.draw()};
         const auto* chosen =
             pool == current.view->upstreams.end()
                 ? nullptr
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -21,7 +21,9 @@
 
 cw_gateway_traffic::cw_gateway_traffic(const cw_gateway_options& options,
                                        cw_gateway_metrics& metrics)
-    : options_{options},
+    : domain_{options.domain},
+      retry_share_{options.retry_share},
+      retry_slack_{options.retry_slack},
       metrics_{metrics},
       pool_{context_},
       view_{std::make_shared<const cw_gateway_view>()},
@@ -37,7 +39,16 @@
     });
 }
 
+void cw_gateway_traffic::set_retry_bounds(double share, double slack) {
+    net::post(context_, [this, share, slack] {
+        retry_share_ = share;
+        retry_slack_ = slack;
+        budgets_.clear();
+    });
+}
+
 void cw_gateway_traffic::adapt_to(const cw_gateway_view& view) {
+    crashes_.set_shared(view.crashes, std::chrono::steady_clock::now());
     if (view.hosts != budget_hosts_) {
         budget_hosts_ = view.hosts;
         budgets_.clear();
@@ -67,8 +78,8 @@
 cw_retry_budget& cw_gateway_traffic::budget(const std::string& service) {
     const auto hosts = std::max(1U, budget_hosts_);
     return budgets_
-        .try_emplace(service, options_.retry_share * used_budget,
-                     std::max(1.0, options_.retry_slack * used_budget / hosts))
+        .try_emplace(service, retry_share_ * used_budget,
+                     std::max(1.0, retry_slack_ * used_budget / hosts))
         .first->second;
 }
 
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_crash_guard.h"
 #include "cw_gateway_metrics.h"
 #include "cw_gateway_view.h"
 #include "cw_key_load.h"
@@ -33,7 +34,9 @@
     cw_gateway_traffic(const cw_gateway_options& options, cw_gateway_metrics& metrics);
 
     [[nodiscard]] boost::asio::io_context& context() { return context_; }
-    [[nodiscard]] const cw_gateway_options& options() const { return options_; }
+    /// Failure domain of this host.
+    [[nodiscard]] const std::string& domain() const { return domain_; }
+    [[nodiscard]] cw_crash_guard& crashes() { return crashes_; }
     [[nodiscard]] cw_gateway_metrics& metrics() { return metrics_; }
     [[nodiscard]] const cw_log& log() const { return log_; }
     [[nodiscard]] cw_upstream_pool& pool() { return pool_; }
@@ -54,6 +57,9 @@
     /// A random number.
     [[nodiscard]] std::uint64_t draw() { return engine_(); }
 
+    /// Sets the retries that all hosts together may make. Safe to call from any thread.
+    void set_retry_bounds(double share, double slack);
+
     void count_key(const std::string& service, std::uint32_t key);
     /// Requests per key since the last call, by service. Safe to call from any thread.
     [[nodiscard]] std::map<std::string, std::vector<cw_key_count>> take_counts();
@@ -66,7 +72,10 @@
 private:
     void adapt_to(const cw_gateway_view& view);
 
-    const cw_gateway_options& options_;
+    std::string domain_;
+    double retry_share_;
+    double retry_slack_;
+    cw_crash_guard crashes_{cw_crash_options{}};
     cw_gateway_metrics& metrics_;
     cw_log log_{"route"};
     boost::asio::io_context context_{1};
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -20,6 +20,8 @@
     std::map<std::string, std::shared_ptr<const cw_key_table>> tables;
     /// Hosts that share the retry budget, this one included.
     std::uint32_t hosts = 1;
+    /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
+    std::map<std::uint64_t, std::uint32_t> crashes;
     /// True once the process has been told to stop.
     bool stopping = false;
 };
--- a/Source/cw_host_report.cpp
+++ b/Source/cw_host_report.cpp
@@ -7,8 +7,15 @@
     for (const auto& entry : counts) {
         list.push_back({entry.key, entry.count});
     }
-    return nlohmann::json{
-        {"service", service}, {"host", host}, {"incarnation", incarnation}, {"counts", list}}
+    auto notes = nlohmann::json::array();
+    for (const auto& note : crashes) {
+        notes.push_back({note.fingerprint, note.address, note.answered});
+    }
+    return nlohmann::json{{"service", service},
+                          {"host", host},
+                          {"incarnation", incarnation},
+                          {"counts", list},
+                          {"crashes", notes}}
         .dump();
 }
 
@@ -23,6 +30,10 @@
             report.counts.push_back(
                 {item.at(0).get<std::uint32_t>(), item.at(1).get<std::uint32_t>()});
         }
+        for (const auto& item : value.value("crashes", nlohmann::json::array())) {
+            report.crashes.push_back({item.at(0).get<std::uint64_t>(),
+                                      item.at(1).get<std::string>(), item.at(2).get<bool>()});
+        }
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse host report", "", failure.what()});
     }
--- a/Source/cw_host_report.h
+++ b/Source/cw_host_report.h
@@ -8,12 +8,22 @@
 #include <string_view>
 #include <vector>
 
+/// A death of an upstream beside a request, or the request's answer after all.
+struct cw_crash_note {
+    std::uint64_t fingerprint = 0;
+    /// "IP:port" of the upstream; empty for an answer.
+    std::string address;
+    bool answered = false;
+};
+
 /// What a host tells a service's steward about itself and the service's keys.
 struct cw_host_report {
     std::string service;
     std::string host;
     std::uint64_t incarnation = 0;
     std::vector<cw_key_count> counts;
+    /// Since the last report; only in reports to the steward that gathers them.
+    std::vector<cw_crash_note> crashes;
 
     /// The report as JSON text.
     [[nodiscard]] std::string to_text() const;
--- a/Source/cw_log.cpp
+++ b/Source/cw_log.cpp
@@ -1,11 +1,36 @@
 #include "cw_log.h"
 
+#include <atomic>
+#include <cstdint>
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
 namespace {
 
+std::atomic<std::uint64_t> dropped{0};
+
+/// True when standard output takes a line without waiting.
+bool can_write() {
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/// Writes a line unless standard output is full.
+template <typename Write>
+void write_if_possible(Write write) {
+    if (!can_write()) {
+        ++dropped;
+        return;
+    }
+    if (const auto lost = dropped.exchange(0); lost != 0) {
+        LOG(WARNING) << "[log] Lines were dropped. count=" << lost;
+    }
+    write();
+}
+
 bool needs_quotes(const std::string& value) {
     return value.empty() || value.find_first_of(" \"=\n") != std::string::npos;
 }
@@ -70,17 +95,17 @@
 }
 
 void cw_log::debug(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
-    LOG(DEBUG) << line(sentence, fields);
+    write_if_possible([&] { LOG(DEBUG) << line(sentence, fields); });
 }
 
 void cw_log::info(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
-    LOG(INFO) << line(sentence, fields);
+    write_if_possible([&] { LOG(INFO) << line(sentence, fields); });
 }
 
 void cw_log::warning(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
-    LOG(WARNING) << line(sentence, fields);
+    write_if_possible([&] { LOG(WARNING) << line(sentence, fields); });
 }
 
 void cw_log::error(std::string_view sentence, const std::vector<cw_log_field>& fields) const {
-    LOG(ERROR) << line(sentence, fields);
+    write_if_possible([&] { LOG(ERROR) << line(sentence, fields); });
 }
--- a/Source/cw_log.h
+++ b/Source/cw_log.h
@@ -11,8 +11,10 @@
 /// One named value of a log line.
 using cw_log_field = std::pair<std::string_view, std::string>;
 
-/// The log of one part of a program. Lines go to standard error: hosts have no disk.
+/// The log of one part of a program. Lines go to standard output: hosts have no disk.
 ///
+/// A line that standard output cannot take at once is dropped and counted, so that a reader that
+/// stands still holds up nothing; the next line that gets through tells how many were lost.
 /// A line reads `TIME LEVEL [part] Short sentence. name=value name=value`.
 class cw_log {
 public:
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -1,6 +1,7 @@
 #include "cw_proxy_session.h"
 
 #include "cw_async.h"
+#include "cw_death_probe.h"
 #include "cw_header_names.h"
 #include "cw_hop_headers.h"
 #include "cw_key_hash.h"
@@ -259,7 +260,7 @@
     }
     // An upstream that merely closed the connection still listens.
     if (result == cw_attempt_result::connection_lost && !current.streamed_answer &&
-        co_await runner_.is_upstream_dead(current)) {
+        co_await cw_is_dead(traffic_.context, current.address)) {
         crashes.on_crash(fingerprint_of(current.request), current.address, now());
     }
 }
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -118,6 +118,12 @@
     }
 }
 
+void cw_steward::set_tenure(std::chrono::milliseconds tenure) {
+    // A successor that relies on a shorter tenure than its predecessor had would not wait for its
+    // last grants, so a bound only grows within the life of a process.
+    options_.tenure = std::max(options_.tenure, tenure);
+}
+
 void cw_steward::on_stop(cw_boot_time now, commands& out) {
     if (stopping_) {
         return;
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -42,6 +42,8 @@
     /// A process of the given host reported; an earlier one of the same host has ended.
     void on_member(const std::string& host, std::uint64_t incarnation, cw_boot_time now);
     void on_load(const std::vector<cw_key_count>& counts, cw_boot_time now);
+    /// The bound comes from settings that may change.
+    void set_tenure(std::chrono::milliseconds tenure);
     /// Stops granting and lets another host take over.
     void on_stop(cw_boot_time now, commands& out);
 
--- a/Tests/Ownership/cw_ownership_bench.cpp
+++ b/Tests/Ownership/cw_ownership_bench.cpp
@@ -85,7 +85,8 @@
 void cw_ownership_bench::run(std::chrono::milliseconds duration) {
     const auto end = now_ + duration;
     while (!queue_.empty() && queue_.top().at <= end) {
-        const auto next = queue_.top();
+        // The queue only hands out constant elements, but this one is about to leave it.
+        auto next = std::move(const_cast<event&>(queue_.top()));
         queue_.pop();
         now_ = next.at;
         next.action();
@@ -447,8 +448,19 @@
 }
 
 void cw_ownership_bench::sample_gaps() {
+    std::vector<const cw_lease_holder*> holders;
+    for (const auto& [name, node] : upstreams_) {
+        if (node.alive && now_ >= node.frozen_until && node.holder->is_leased(local_time(node))) {
+            holders.push_back(node.holder.get());
+        }
+    }
     for (std::size_t i = 0; i < samples; ++i) {
-        if (!owners_of(sample_position(i)).empty()) {
+        const auto position = sample_position(i);
+        const bool owned =
+            std::any_of(holders.begin(), holders.end(), [position](const auto* holder) {
+                return holder->find(position) != nullptr;
+            });
+        if (owned) {
             owned_last_[i] = now_;
         }
         gaps_[i] = std::max(gaps_[i], std::chrono::nanoseconds{now_ - owned_last_[i]});
