--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -49,7 +49,9 @@
 }
 
 bool cw_steward::may_grant(cw_boot_time now) const {
-    return is_steward() && !stopping_ && now < confirmed_ + options_.tenure;
+    // One that resigns goes on until the store has taken its resignation: nobody else can begin
+    // before.
+    return is_steward() && now < confirmed_ + options_.tenure;
 }
 
 std::vector<cw_timeline_event> cw_steward::take_events() {
@@ -262,9 +264,6 @@
     }
     copy.steward = self_;
     ++copy.term;
-    seen_beat_.reset();
-    refused_ = false;
-    last_contact_ = now;
     write(std::move(copy), out);
 }
 
@@ -273,7 +272,6 @@
 void cw_steward::lead(cw_boot_time now, commands& out) {
     if (stopping_) {
         resign(now, out);
-        return;
     }
     if (!beat_busy_ && now >= next_beat_) {
         beat_busy_ = true;
@@ -290,7 +288,7 @@
     for (std::size_t place = 0; place < table_.ranges.size(); ++place) {
         order_range(place, now, out);
     }
-    if (!store_busy_ && is_read_ && now >= next_store_call_) {
+    if (!stopping_ && !store_busy_ && is_read_ && now >= next_store_call_) {
         plan(now, out);
     }
 }
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -23,11 +23,11 @@
     /// Pause before a store call that failed is sent again.
     std::chrono::milliseconds store_retry{150};
     /// Interval at which the steward shows in the store that it lives.
-    std::chrono::milliseconds beat{500};
+    std::chrono::milliseconds beat{400};
     /// Time without word from the steward after which another host looks at its beats.
-    std::chrono::milliseconds patience{700};
+    std::chrono::milliseconds patience{600};
     /// Time in which the beats must stand still before another host takes over.
-    std::chrono::milliseconds still{1'100};
+    std::chrono::milliseconds still{900};
     /// Pause after which a host that lost the stewardship may take it over again.
     std::chrono::milliseconds reclaim{3'000};
     /// Interval between two plans for balance.
--- a/Tests/Gateway/cw_steward_test.cpp
+++ b/Tests/Gateway/cw_steward_test.cpp
@@ -121,6 +121,26 @@
     check_rules();
 }
 
+TEST_CASE_FIXTURE(settled_world, "steward_that_stops_while_the_store_is_down_grants_to_its_end") {
+    world.set_store_down(true);
+    world.run(500ms);
+    world.stop_host(world.steward());
+    world.run(2'400ms);
+    CHECK(world.longest_absence() <= 20ms);
+    check_rules();
+}
+
+TEST_CASE_FIXTURE(settled_world, "steward_gone_without_a_word_is_replaced_within_two_seconds") {
+    const auto first = world.steward();
+    world.drain_upstream("u1");
+    world.run(2s);
+    world.freeze_host(first, 60s);
+    world.run(2s);
+    CHECK(world.steward() != first);
+    CHECK(world.steward() != "");
+    check_rules();
+}
+
 TEST_CASE_FIXTURE(settled_world, "steward_frozen_and_thawed_never_gives_keys_twice") {
     const auto first = world.steward();
     world.freeze_host(first, 4s);
