--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <caf/event_based_actor.hpp>
 #include <csignal>
+#include <optional>
 #include <thread>
 
 /// The gateway process: one thread for control state, one for control I/O, one for traffic.
@@ -25,6 +26,11 @@
           admin_{context_, options_.admin,
                  [this](cw_http_request request) { return serve_admin(std::move(request)); }},
           io_{context_, kernel_, options_, self_, traffic_} {
+        if (options_.metrics_port != 0) {
+            metrics_server_.emplace(
+                context_, cw_address{options_.listen.ip, options_.metrics_port},
+                [this](cw_http_request request) { return serve_admin(std::move(request)); });
+        }
         acceptor_.open(options_.listen.tcp().protocol());
         acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address{true});
         acceptor_.bind(options_.listen.tcp());
@@ -36,6 +42,9 @@
     void run() {
         start_services();
         admin_.start();
+        if (metrics_server_) {
+            metrics_server_->start();
+        }
         io_.start();
         boost::asio::co_spawn(context_, follow_settings(), boost::asio::detached);
         boost::asio::co_spawn(traffic_.context(), accept(), boost::asio::detached);
@@ -205,6 +214,7 @@
     cw_gateway_traffic traffic_;
     boost::asio::ip::tcp::acceptor acceptor_;
     cw_http_server admin_;
+    std::optional<cw_http_server> metrics_server_;
     cw_gateway_io<Port> io_;
     bool stopping_ = false;
 };
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -16,6 +16,8 @@
     cw_address listen;
     /// Readiness and metrics.
     cw_address admin;
+    /// A further port for metrics, the same on all hosts and days; 0 for none.
+    std::uint16_t metrics_port = 0;
     /// Where the other hosts report.
     cw_address peers;
     /// "IP:port" of the platform's store.
--- a/Source/cw_gateway_settings.cpp
+++ b/Source/cw_gateway_settings.cpp
@@ -34,8 +34,12 @@
     }
 
     std::uint16_t port(const char* name) {
-        const auto number = whole(name, 1, 65'535);
-        return static_cast<std::uint16_t>(number);
+        return static_cast<std::uint16_t>(whole(name, 1, 65'535));
+    }
+
+    /// A port that need not be given; 0 when it is absent.
+    std::uint16_t optional_port(const char* name) {
+        return find(name) == nullptr ? std::uint16_t{0} : port(name);
     }
 
     /// Seconds, with fractions; the fallback when the setting is absent.
@@ -84,7 +88,8 @@
     }
 
     void fail(const std::string& name, const std::string& reason) {
-        mistakes_.push_back(name + ": " + reason);
+        mistakes_.push_back(name);
+        mistakes_.back().append(": ").append(reason);
     }
 
     const json& value_;
@@ -107,6 +112,7 @@
     options.admin = settings.address("admin");
     options.store = settings.text("store");
     options.peers = {options.listen.ip, settings.port("peer_port")};
+    options.metrics_port = settings.optional_port("metrics_port");
     options.stop_grace = settings.seconds("stop_grace_s", options.stop_grace);
     options.retry_share = settings.number("retry_share", 0.0, 1.0, options.retry_share);
     options.retry_slack = settings.number("retry_slack", 0.0, 1e6, options.retry_slack);
--- /dev/null
+++ b/Tests/Gateway/cw_platform_day.cpp
@@ -0,0 +1,300 @@
+/// A short day on the platform's stand-in: the store, instances of two services, and callers with
+/// an audit. cw_platform_day BASE-PORT SECONDS TROUBLE GATEWAY-PORT...; the gateways are started by
+/// the script around it when this program has printed "store is up".
+
+#include "cw_async.h"
+#include "cw_http_client.h"
+#include "cw_instance_standin.h"
+#include "cw_platform_standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <iostream>
+#include <map>
+#include <set>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t keyed_instances = 4;
+constexpr std::size_t plain_instances = 2;
+constexpr auto heartbeat = 300ms;
+constexpr auto look_interval = 10ms;
+constexpr std::uint32_t key_step = 1'024;
+
+json configuration(std::uint64_t version) {
+    const auto rule = [](const char* name, const char* kind, const char* service) {
+        return json{{"name", name},
+                    {"kind", kind},
+                    {"targetLatencyS", 0.5},
+                    {"priority", 1},
+                    {"match", {{"pathPrefix", std::string{"/"} + name + "/"}}},
+                    {"action", {{"service", service}, {"timeoutS", 2.0}, {"maxAttempts", 2}}}};
+    };
+    return {{"version", version},
+            {"limits",
+             {{"maxHeaderBytes", 16'384},
+              {"maxBodyBytes", 65'536},
+              {"headerTimeoutS", 3},
+              {"idleTimeoutS", 15}}},
+            {"listeners",
+             {{{"host", "shop.example"},
+               {"rules",
+                {rule("view", "safe", "gallery"), rule("order", "non_idempotent", "orders")}}}}},
+            {"clusters",
+             {{{"name", "gallery"}, {"sharded", true}, {"warmupS", 1}}, {{"name", "orders"}}}}};
+}
+
+class day {
+public:
+    day(std::uint16_t base, std::chrono::seconds length, std::string trouble,
+        std::vector<std::uint16_t> gateways)
+        : store_{context_, at(base)},
+          http_{context_},
+          length_{length},
+          trouble_{std::move(trouble)},
+          gateways_{std::move(gateways)} {
+        for (std::size_t i = 0; i < keyed_instances + plain_instances; ++i) {
+            const bool is_keyed = i < keyed_instances;
+            instances_.push_back(std::make_unique<cw_instance_standin>(
+                context_, "i" + std::to_string(i), at(static_cast<std::uint16_t>(base + 1 + i)),
+                is_keyed));
+        }
+    }
+
+    bool play() {
+        store_.put("config", "main", configuration(1));
+        store_.start();
+        for (auto& instance : instances_) {
+            instance->start();
+            announce(*instance, "ready");
+        }
+        store_.put("servers", "spoilt", json{{"service", 5}});
+        std::cout << "store is up" << std::endl;
+        net::co_spawn(context_, run(), [this](const std::exception_ptr& failure) {
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+            context_.stop();
+        });
+        net::co_spawn(context_, look(), net::detached);
+        context_.run();
+        return judge();
+    }
+
+private:
+    static cw_address at(std::uint16_t port) { return {net::ip::address_v4::loopback(), port}; }
+
+    void announce(const cw_instance_standin& instance, const char* state) {
+        store_.put("servers", instance.id(),
+                   {{"service", instance.is_keyed() ? "gallery" : "orders"},
+                    {"address", "127.0.0.1:" + std::to_string(instance.address().port)},
+                    {"zone", "z"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", state},
+                    {"coldRemainingS", 0},
+                    {"sequence", ++sequence_},
+                    {"born", instance.born()}});
+    }
+
+    net::awaitable<void> pause(std::chrono::milliseconds length) {
+        net::steady_timer timer{context_, length};
+        boost::system::error_code failure;
+        co_await timer.async_wait(cw_into(failure));
+    }
+
+    net::awaitable<bool> is_ready(std::uint16_t port) {
+        cw_http_request request{http::verb::get, "/readyz", 11};
+        const auto answer = co_await http_.request("127.0.0.1:" + std::to_string(port + 1), request,
+                                                   std::chrono::steady_clock::now() + 500ms);
+        co_return answer && answer->result() == http::status::ok;
+    }
+
+    net::awaitable<void> run() {
+        for (const auto port : gateways_) {
+            bool ready = false;
+            for (int tries = 0; tries < 100 && !ready; ++tries) {
+                ready = co_await is_ready(port);
+                co_await pause(50ms);
+            }
+            if (!ready) {
+                ++never_ready_;
+            }
+        }
+        co_await pause(3s);
+        held_at_.clear();
+        longest_absence_ = 0ms;
+        net::co_spawn(context_, disturb(), net::detached);
+        const auto end = std::chrono::steady_clock::now() + length_;
+        std::uint64_t number = 0;
+        while (std::chrono::steady_clock::now() < end) {
+            net::co_spawn(context_, call(++number), net::detached);
+            co_await pause(5ms);
+        }
+        co_await pause(3s);
+    }
+
+    net::awaitable<void> disturb() {
+        co_await pause(1s);
+        if (trouble_ == "store-down") {
+            store_.set_down(true);
+            co_await pause(3s);
+            store_.set_down(false);
+        } else if (trouble_ == "crash") {
+            instances_[1]->crash();
+            store_.remove("servers", "i1");
+            co_await pause(3s);
+            instances_[1]->restart();
+            announce(*instances_[1], "ready");
+        } else if (trouble_ == "drain") {
+            announce(*instances_[2], "draining");
+        } else if (trouble_ == "lost-answers") {
+            store_.set_lost_answers(0.5);
+            announce(*instances_[2], "draining");
+        } else if (trouble_ == "forgotten") {
+            store_.forget_history();
+            store_.put("config", "main", configuration(2));
+        }
+    }
+
+    net::awaitable<void> call(std::uint64_t number) {
+        const bool orders = number % 3 == 0;
+        const auto id = "r" + std::to_string(number);
+        cw_http_request request{orders ? http::verb::post : http::verb::get,
+                                orders ? "/order/x" : "/view/x", 11};
+        request.set(http::field::host, "shop.example");
+        request.set("X-Cuminwinch-Attempt-Id", id);
+        request.set("X-Cuminwinch-Request-Timeout-Ms", "1500");
+        request.set("X-Cuminwinch-Shard-Key", std::to_string(number * 7'919 % 65'536));
+        request.keep_alive(false);
+        if (orders) {
+            request.body() = "one shirt";
+        }
+        request.prepare_payload();
+        const auto port = gateways_[number % gateways_.size()];
+        boost::beast::tcp_stream stream{context_};
+        stream.expires_after(2s);
+        boost::system::error_code failure;
+        co_await stream.async_connect(at(port).tcp(), cw_into(failure));
+        if (failure) {
+            ++unconnected_;
+            co_return;
+        }
+        co_await http::async_write(stream, request, cw_into(failure));
+        boost::beast::flat_buffer buffer;
+        cw_http_response answer;
+        if (!failure) {
+            co_await http::async_read(stream, buffer, answer, cw_into(failure));
+        }
+        ++asked_;
+        statuses_[failure ? 0U : answer.result_int()]++;
+        const bool fine = !failure && answer.result() == http::status::ok;
+        if (fine && answer.body().find(" ran " + id) == std::string::npos) {
+            ++mixed_;
+        }
+        if (!failure && answer.result() == http::status::service_unavailable) {
+            refused_.insert(id);
+        }
+    }
+
+    net::awaitable<void> look() {
+        while (true) {
+            co_await pause(look_interval);
+            const auto now = std::chrono::steady_clock::now();
+            for (std::uint32_t key = 0; key < 65'536; key += key_step) {
+                const auto holders =
+                    std::count_if(instances_.begin(), instances_.end(),
+                                  [key](const auto& instance) { return instance->holds(key); });
+                two_owners_ += holders > 1 ? 1 : 0;
+                auto& last = held_at_.try_emplace(key, now).first->second;
+                if (holders > 0) {
+                    last = now;
+                }
+                longest_absence_ =
+                    std::max(longest_absence_,
+                             std::chrono::duration_cast<std::chrono::milliseconds>(now - last));
+            }
+        }
+    }
+
+    void check(const std::string& what, bool holds) {
+        std::cout << (holds ? "holds: " : "FAILS: ") << what << '\n';
+        good_ = good_ && holds;
+    }
+
+    bool judge() {
+        std::map<std::string, int> runs;
+        for (const auto& instance : instances_) {
+            for (const auto& run : instance->runs()) {
+                ++runs[run.id];
+            }
+        }
+        int twice = 0;
+        for (const auto& [id, count] : runs) {
+            const auto number = std::stoul(id.substr(1));
+            twice += number % 3 == 0 && count > 1 ? 1 : 0;
+        }
+        const auto untrue = std::count_if(refused_.begin(), refused_.end(), [&](const auto& id) {
+            return std::stoul(id.substr(1)) % 3 == 0 && runs.contains(id);
+        });
+        for (const auto& [status, count] : statuses_) {
+            std::cout << "status " << status << ": " << count << '\n';
+        }
+        const auto share = static_cast<double>(statuses_[200]) /
+                           static_cast<double>(std::max<std::size_t>(asked_, 1));
+        check("every gateway became ready", never_ready_ == 0);
+        check("no key had two owners", two_owners_ == 0);
+        check("no order ran twice", twice == 0);
+        check("no refused order had run", untrue == 0);
+        check("no answer was another's", mixed_ == 0);
+        check("nine in ten were served (" + std::to_string(share) + ")", share >= 0.9);
+        check("no key was away for more than 2 s (" + std::to_string(longest_absence_.count()) +
+                  " ms)",
+              longest_absence_ <= 2s);
+        return good_;
+    }
+
+    net::io_context context_{1};
+    cw_platform_standin store_;
+    cw_http_client http_;
+    std::chrono::seconds length_;
+    std::string trouble_;
+    std::vector<std::uint16_t> gateways_;
+    std::vector<std::unique_ptr<cw_instance_standin>> instances_;
+    std::uint64_t sequence_ = 0;
+    std::map<std::uint32_t, std::chrono::steady_clock::time_point> held_at_;
+    std::chrono::milliseconds longest_absence_{0};
+    std::size_t two_owners_ = 0;
+    std::size_t asked_ = 0;
+    std::size_t unconnected_ = 0;
+    std::size_t mixed_ = 0;
+    std::size_t never_ready_ = 0;
+    std::map<unsigned, std::size_t> statuses_;
+    std::set<std::string> refused_;
+    bool good_ = true;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    if (argc < 5) {
+        std::cerr << "usage: cw_platform_day BASE-PORT SECONDS TROUBLE GATEWAY-PORT...\n";
+        return 2;
+    }
+    std::vector<std::uint16_t> gateways;
+    for (int i = 4; i < argc; ++i) {
+        gateways.push_back(static_cast<std::uint16_t>(std::atoi(argv[i])));
+    }
+    day played{static_cast<std::uint16_t>(std::atoi(argv[1])),
+               std::chrono::seconds{std::atoi(argv[2])}, argv[3], gateways};
+    return played.play() ? 0 : 1;
+}
--- /dev/null
+++ b/Tests/Gateway/cw_platform_standin.cpp
@@ -0,0 +1,179 @@
+#include "cw_platform_standin.h"
+
+#include "cw_async.h"
+#include "cw_query.h"
+
+#include <boost/beast/http/verb.hpp>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+constexpr std::string_view objects_path = "/api/objects/";
+/// Objects on one page of a list.
+constexpr std::size_t page_size = 4;
+constexpr std::size_t most_history = 500;
+/// A call to a store that is down stays without an answer for so long.
+constexpr auto silence = 5s;
+} // namespace
+
+cw_platform_standin::cw_platform_standin(net::io_context& context, const cw_address& address)
+    : context_{context},
+      server_{context, address,
+              [this](cw_http_request request) { return serve(std::move(request)); }} {}
+
+net::awaitable<void> cw_platform_standin::pause(std::chrono::milliseconds length) {
+    net::steady_timer timer{context_, length};
+    boost::system::error_code failure;
+    co_await timer.async_wait(cw_into(failure));
+}
+
+void cw_platform_standin::record(const std::string& kind, json event) {
+    history_.push_back({revision_, kind, std::move(event)});
+    if (history_.size() > most_history) {
+        forgotten_ = history_.front().revision;
+        history_.pop_front();
+    }
+    for (auto* timer : waiting_) {
+        timer->cancel();
+    }
+}
+
+json& cw_platform_standin::store(const std::string& kind, const std::string& name, json spec) {
+    auto& object = objects_[kind][name];
+    ++revision_;
+    object = {
+        {"metadata", {{"name", name}, {"revision", revision_}, {"finalizers", json::array()}}},
+        {"spec", std::move(spec)},
+        {"status", nullptr}};
+    record(kind, {{"deleted", false}, {"object", object}});
+    return object;
+}
+
+void cw_platform_standin::put(const std::string& kind, const std::string& name, json spec) {
+    store(kind, name, std::move(spec));
+}
+
+void cw_platform_standin::remove(const std::string& kind, const std::string& name) {
+    auto& objects = objects_[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end()) {
+        return;
+    }
+    const auto object = found->second;
+    objects.erase(found);
+    ++revision_;
+    record(kind, {{"deleted", true}, {"object", object}});
+}
+
+void cw_platform_standin::forget_history() {
+    history_.clear();
+    forgotten_ = revision_;
+    ++revision_;
+    for (auto* timer : waiting_) {
+        timer->cancel();
+    }
+}
+
+cw_http_response cw_platform_standin::list(const std::string& kind, std::string_view target) const {
+    const auto after = std::string{cw_query_value(target, "after")};
+    json answer{{"items", json::array()}, {"hasMore", false}, {"currentRev", revision_}};
+    const auto objects = objects_.find(kind);
+    if (objects != objects_.end()) {
+        for (auto place = objects->second.upper_bound(after); place != objects->second.end();
+             ++place) {
+            if (answer["items"].size() == page_size) {
+                answer["hasMore"] = true;
+                break;
+            }
+            answer["items"].push_back(place->second);
+        }
+    }
+    return cw_make_response(http::status::ok, answer.dump());
+}
+
+net::awaitable<cw_http_response> cw_platform_standin::watch(std::string kind, std::string target) {
+    const auto from = cw_query_number(target, "watch", 0);
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::milliseconds{cw_query_number(target, "waitMs", 0)};
+    json answer{{"events", json::array()}};
+    while (true) {
+        if (from < forgotten_) {
+            co_return cw_make_response(http::status::gone, "{}");
+        }
+        for (const auto& item : history_) {
+            if (item.revision > from && item.kind == kind) {
+                answer["events"].push_back(item.event);
+            }
+        }
+        if (!answer["events"].empty() || std::chrono::steady_clock::now() >= until) {
+            answer["currentRev"] = revision_;
+            co_return cw_make_response(http::status::ok, answer.dump());
+        }
+        net::steady_timer timer{context_, until};
+        const auto place = waiting_.insert(waiting_.end(), &timer);
+        boost::system::error_code failure;
+        co_await timer.async_wait(cw_into(failure));
+        waiting_.erase(place);
+    }
+}
+
+cw_http_response cw_platform_standin::write(const std::string& kind, const std::string& name,
+                                            const cw_http_request& request) {
+    const auto body = json::parse(request.body());
+    const auto& metadata = body.at("metadata");
+    const auto target = name.empty() ? metadata.at("name").get<std::string>() : name;
+    auto& objects = objects_[kind];
+    const auto found = objects.find(target);
+    if (request.method() == http::verb::post && found != objects.end()) {
+        return cw_make_response(http::status::conflict, found->second.dump());
+    }
+    if (request.method() == http::verb::put) {
+        if (found == objects.end()) {
+            return cw_make_response(http::status::not_found, "{}");
+        }
+        const auto known = found->second["metadata"]["revision"].get<std::uint64_t>();
+        if (metadata.contains("revision") && metadata["revision"] != known) {
+            return cw_make_response(http::status::conflict, found->second.dump());
+        }
+    }
+    return cw_make_response(http::status::ok, store(kind, target, body.at("spec")).dump());
+}
+
+net::awaitable<cw_http_response> cw_platform_standin::serve(cw_http_request request) {
+    ++calls_;
+    if (down_) {
+        co_await pause(silence);
+        co_return cw_make_response(http::status::service_unavailable, "{}");
+    }
+    if (delay_ > 0ms) {
+        co_await pause(delay_);
+    }
+    const std::string target{request.target().data(), request.target().size()};
+    const auto path = cw_path_of(target);
+    const auto rest = std::string{path.substr(std::min(objects_path.size(), path.size()))};
+    const auto slash = rest.find('/');
+    const auto kind = rest.substr(0, slash);
+    const auto name = slash == std::string::npos ? std::string{} : rest.substr(slash + 1);
+    if (request.method() != http::verb::get) {
+        auto answer = write(kind, name, request);
+        if (std::uniform_real_distribution<>{}(engine_) < lost_answers_) {
+            co_await pause(silence);
+        }
+        co_return answer;
+    }
+    if (!name.empty()) {
+        const auto& objects = objects_[kind];
+        const auto found = objects.find(name);
+        if (found == objects.end()) {
+            co_return cw_make_response(http::status::not_found, "{}");
+        }
+        co_return cw_make_response(http::status::ok, found->second.dump());
+    }
+    if (!cw_query_value(target, "watch").empty()) {
+        co_return co_await watch(kind, target);
+    }
+    co_return list(kind, target);
+}
--- /dev/null
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "cw_http_server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+/// The platform's object store, small: revisions, conditional writes, lists by pages, watches, a
+/// bounded history. It can be down, slow, or lose the answers of writes.
+class cw_platform_standin {
+public:
+    cw_platform_standin(boost::asio::io_context& context, const cw_address& address);
+    void start() { server_.start(); }
+
+    /// Writes an object as the operator or an upstream would.
+    void put(const std::string& kind, const std::string& name, nlohmann::json spec);
+    void remove(const std::string& kind, const std::string& name);
+    void set_down(bool down) { down_ = down; }
+    void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+    /// Share of the writes that are done and not answered.
+    void set_lost_answers(double share) { lost_answers_ = share; }
+    /// Forgets its history, so that every watch has to begin anew.
+    void forget_history();
+    [[nodiscard]] std::size_t calls() const { return calls_; }
+
+private:
+    struct change {
+        std::uint64_t revision;
+        std::string kind;
+        nlohmann::json event;
+    };
+
+    boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
+    cw_http_response list(const std::string& kind, std::string_view target) const;
+    boost::asio::awaitable<cw_http_response> watch(std::string kind, std::string target);
+    cw_http_response write(const std::string& kind, const std::string& name,
+                           const cw_http_request& request);
+    nlohmann::json& store(const std::string& kind, const std::string& name, nlohmann::json spec);
+    void record(const std::string& kind, nlohmann::json event);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
+
+    boost::asio::io_context& context_;
+    cw_http_server server_;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::deque<change> history_;
+    std::uint64_t forgotten_ = 0;
+    std::uint64_t revision_ = 1;
+    std::list<boost::asio::steady_timer*> waiting_;
+    bool down_ = false;
+    std::chrono::milliseconds delay_{0};
+    double lost_answers_ = 0.0;
+    std::size_t calls_ = 0;
+    std::minstd_rand engine_{7};
+};
