--- a/Source/cw_key_load.cpp
+++ b/Source/cw_key_load.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
-#include <numeric>
 
 namespace {
 using namespace std::chrono_literals;
@@ -24,8 +23,11 @@
     }
     const auto passed = std::chrono::duration<double>(now - faded_at_);
     const auto factor = std::exp2(-passed / std::chrono::duration<double>(half_life_));
-    for (auto& rate : rates_) {
-        rate *= factor;
+    total_ *= factor;
+    if (total_ > 0.0) {
+        for (auto& rate : rates_) {
+            rate *= factor;
+        }
     }
     faded_at_ = now;
 }
@@ -38,13 +40,14 @@
     for (const auto& entry : counts) {
         if (entry.key <= cw_last_key) {
             rates_[entry.key] += weight * entry.count;
+            total_ += weight * entry.count;
         }
     }
 }
 
 double cw_key_load::total(cw_boot_time now) {
     fade(now);
-    return std::accumulate(rates_.begin(), rates_.end(), 0.0);
+    return total_;
 }
 
 std::vector<double> cw_key_load::sums(cw_boot_time now) {
--- a/Source/cw_key_load.h
+++ b/Source/cw_key_load.h
@@ -31,5 +31,7 @@
 
     std::chrono::milliseconds half_life_;
     std::vector<double> rates_ = std::vector<double>(cw_last_key + 1, 0.0);
+    /// Sum of all rates.
+    double total_ = 0.0;
     cw_boot_time faded_at_{};
 };
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -535,6 +535,14 @@
     });
 }
 
+bool cw_steward::has_newcomer(const std::vector<cw_key_candidate>& list) const {
+    return std::any_of(list.begin(), list.end(), [&](const auto& candidate) {
+        return candidate.warm &&
+               std::none_of(table_.ranges.begin(), table_.ranges.end(),
+                            [&](const auto& range) { return range.owner == candidate.owner; });
+    });
+}
+
 void cw_steward::plan(cw_boot_time now, commands& out) {
     const bool first = table_.last_fence == 0;
     if (upstreams_.empty() || (first && now < upstreams_grew_ + options_.gather)) {
@@ -566,7 +574,8 @@
         }
     }
     std::vector<cw_key_move> moves;
-    if (balance || needs_owner(list)) {
+    const bool is_busy = load_.total(now) >= options.least_rate;
+    if (needs_owner(list) || has_newcomer(list) || (balance && is_busy)) {
         moves = cw_plan_key_moves(copy, list, load_.sums(now), load_.total(now), options);
     }
     for (const auto& move : moves) {
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -112,6 +112,8 @@
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
     /// True when a range's owner is none of the candidates.
     [[nodiscard]] bool needs_owner(const std::vector<cw_key_candidate>& list) const;
+    /// True when a warm candidate owns nothing.
+    [[nodiscard]] bool has_newcomer(const std::vector<cw_key_candidate>& list) const;
     void note(std::string what, std::string subject, std::string detail);
 
     std::string service_;
--- /dev/null
+++ b/Tests/Gateway/cw_steward_schedule_main.cpp
@@ -0,0 +1,33 @@
+/// Random schedules of faults over the gateway's ownership: cw_steward_schedules SEED [COUNT]. With
+/// one seed alone, its decisions are printed.
+
+#include "cw_steward_schedule.h"
+
+#include <cstdlib>
+#include <iostream>
+
+int main(int argc, char** argv) {
+    if (argc < 2) {
+        std::cerr << "usage: cw_steward_schedules SEED [COUNT]\n";
+        return 2;
+    }
+    const auto first = std::strtoull(argv[1], nullptr, 10);
+    const auto count = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    std::size_t failed = 0;
+    for (auto seed = first; seed < first + count; ++seed) {
+        cw_steward_schedule schedule{seed};
+        schedule.play();
+        if (argc == 2) {
+            for (const auto& line : schedule.world().history()) {
+                std::cout << line << '\n';
+            }
+        }
+        if (!schedule.world().violations().empty()) {
+            ++failed;
+            std::cout << "seed " << seed << ": " << schedule.world().violations().front() << '\n';
+        }
+    }
+    std::cout << "steward schedules " << count << " from seed " << first << ", failed " << failed
+              << '\n';
+    return failed == 0 ? 0 : 1;
+}
--- a/Tests/Mutations/run_mutations.sh
+++ b/Tests/Mutations/run_mutations.sh
@@ -7,29 +7,43 @@
 shift || true
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-flags="-std=c++20 -O1 -I$work/Source -I$work/Standins -I$work/Tests/Ownership"
+flags="-std=c++20 -O1 -I$work/Source -I$work/Standins -I$work/Tests/Ownership -I$work/Tests/Gateway"
 cp -r "$top/Source" "$top/Standins" "$top/Tests" "$work"
-sources="$(grep -o 'Source/cw_[a-z_]*\.cpp' "$top/CMakeLists.txt" | head -n "$(sed -n '/add_library(cw_decisions/,/)/p' "$top/CMakeLists.txt" | grep -c '\.cpp')") \
-Standins/cw_lease_holder.cpp Tests/Ownership/cw_load_source.cpp Tests/Ownership/cw_ownership_bench.cpp \
+decisions=$(sed -n '/add_library(cw_decisions/,/)/p' "$top/CMakeLists.txt" | grep -o 'Source/cw_[a-z_]*\.cpp')
+ownership="Standins/cw_lease_holder.cpp Tests/Ownership/cw_load_source.cpp Tests/Ownership/cw_ownership_bench.cpp \
 Tests/Ownership/cw_ownership_bench_faults.cpp Tests/Ownership/cw_ownership_bench_load.cpp \
 Tests/Ownership/cw_random_schedule.cpp Tests/Ownership/cw_random_schedule_main.cpp"
-mkdir "$work/objects"
+steward="Tests/Gateway/cw_grant_world.cpp Tests/Gateway/cw_steward_schedule.cpp Tests/Gateway/cw_steward_schedule_main.cpp"
+mkdir "$work/objects" "$work/ownership" "$work/steward"
 cd "$work" || exit 1
-echo "$sources" | tr ' ' '\n' | grep . | xargs -P "$(nproc)" -I{} sh -c \
-    "\${CXX:-g++} $flags -c {} -o objects/\$(basename {} .cpp).o" || exit 1
 
-# catch BINARY: prints the first failing seed of all shards, or nothing.
+# compile FOLDER SOURCE...: compiles sources side by side.
+compile() {
+    local folder=$1
+    shift
+    printf '%s\n' "$@" | xargs -P "$(nproc)" -I{} sh -c "\${CXX:-g++} $flags -c {} -o $folder/\$(basename {} .cpp).o"
+}
+# shellcheck disable=SC2086
+compile objects $decisions && compile ownership $ownership && compile steward $steward || exit 1
+
+# catch BINARY: prints the first failing seed of all shards of both kinds of schedules, or nothing.
 catch() {
-    local shards shard
+    local shards shard kind
     shards=$(nproc)
-    for shard in $(seq 0 $((shards - 1))); do
-        "$1" $((1 + shard * (schedules / shards))) $((schedules / shards)) >"$work/out.$shard" &
+    for kind in ownership steward; do
+        for shard in $(seq 0 $((shards - 1))); do
+            "$1.$kind" $((1 + shard * (schedules / shards))) $((schedules / shards)) |
+                sed "s/^seed/$kind seed/" >"$work/out.$kind.$shard" &
+        done
     done
     wait
-    cat "$work"/out.* | grep '^seed' | sort -t' ' -k2 -n | head -1
+    cat "$work"/out.* | grep ' seed ' | sort -t' ' -k3 -n | head -1
 }
 
-link() { ${CXX:-g++} objects/*.o -lxxhash -o "$1"; }
+link() {
+    ${CXX:-g++} objects/*.o ownership/*.o -lxxhash -o "$1.ownership" &&
+        ${CXX:-g++} objects/*.o steward/*.o -lxxhash -o "$1.steward"
+}
 
 link unchanged || exit 1
 found=$(catch ./unchanged)
@@ -54,7 +68,7 @@
         continue
     fi
     printf %s "${changed%x}" >"$work/$file"
-    object=objects/$(basename "$file" .cpp).o
+    object=$(ls */"$(basename "$file" .cpp).o")
     cp "$object" saved.o
     if ${CXX:-g++} $flags -c "$file" -o "$object" && link mutant; then
         found=$(catch ./mutant)
