Tell other hosts of a resignation with the answer to their reports; go on past unreachable upstreams

Ruled out: the store (the resignation was written within 9 ms). Change: the table in such an answer is taken and a vacant office claimed at once; two unreachable upstreams without keys do not count as attempts.

--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -48,6 +48,11 @@
     /// does not gather them.
     std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
 };
+/// A key table from a host that is not, or no longer, its steward.
+struct cw_table_copy {
+    std::string service;
+    cw_key_table table;
+};
 /// Requests for keys that this host took since its last report.
 struct cw_local_load {
     std::string service;
@@ -62,5 +67,5 @@
 
 using cw_control_event =
     std::variant<cw_clock_tick, cw_config_seen, cw_upstreams_listed, cw_upstreams_changed,
-                 cw_store_disturbed, cw_ownership_event, cw_steward_answer, cw_host_report,
-                 cw_local_load, cw_crash_note, cw_ownership_bounds, cw_stop_asked>;
+                 cw_store_disturbed, cw_ownership_event, cw_steward_answer, cw_table_copy,
+                 cw_host_report, cw_local_load, cw_crash_note, cw_ownership_bounds, cw_stop_asked>;
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -152,6 +152,14 @@
     }
 }
 
+void cw_gateway_control::on(const cw_table_copy& event, cw_boot_time now) {
+    if (auto* steward = steward_of(event.service)) {
+        steward->on_copy(event.table, now);
+        // A steward that resigns says so in its table; then this host may claim at once.
+        steward->on_tick(now, commands_);
+    }
+}
+
 void cw_gateway_control::on(const cw_host_report& event, cw_boot_time now) {
     members_[event.host] = now;
     for (auto& [service, steward] : stewards_) {
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -42,6 +42,7 @@
     void on(const cw_store_disturbed& event, cw_boot_time now);
     void on(const cw_ownership_event& event, cw_boot_time now);
     void on(const cw_steward_answer& event, cw_boot_time now);
+    void on(const cw_table_copy& event, cw_boot_time now);
     void on(const cw_host_report& event, cw_boot_time now);
     void on(const cw_local_load& event, cw_boot_time now);
     void on(const cw_crash_note& event, cw_boot_time now);
--- a/Source/cw_gateway_exchange.h
+++ b/Source/cw_gateway_exchange.h
@@ -26,6 +26,8 @@
     cw_attempt_state state;
     /// Requests sent to upstreams so far.
     std::uint32_t sent = 0;
+    /// Upstreams that could not be reached.
+    std::uint32_t unreached = 0;
     /// The upstream of the present attempt.
     cw_upstream_entry upstream;
     /// The fence of the key's range; 0 for services without keys.
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -294,11 +294,12 @@
         }
     }
 
-    /// Hands the steward's answer on; false when it is none.
+    /// Hands the steward's answer on; false when the other host is not the steward. What table it
+    /// knows counts in either case.
     bool take_answer(const std::string& service, const std::shared_ptr<const cw_key_table>& known,
                      const cw_http_response& answer) {
         const auto value = nlohmann::json::parse(answer.body(), nullptr, false);
-        if (answer.result() != boost::beast::http::status::ok || !value.is_object()) {
+        if (!value.is_object()) {
             return false;
         }
         cw_key_table table;
@@ -313,6 +314,10 @@
             }
             table = std::move(*read);
         }
+        if (answer.result() != boost::beast::http::status::ok) {
+            deliver(cw_table_copy{service, std::move(table)});
+            return false;
+        }
         cw_steward_answer told{service, std::move(table), value.value("hosts", 1U), std::nullopt};
         if (value.contains("crashes")) {
             told.crashes = value["crashes"].get<std::map<std::uint64_t, std::uint32_t>>();
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -60,6 +60,8 @@
     /// Part of a route's target time within which an expected answer is good enough: a half.
     static constexpr int good_part = 1;
     static constexpr int whole_part = 2;
+    /// Upstreams without keys that may be out of reach beside the attempts that count.
+    static constexpr std::uint32_t most_unreached = 2;
     /// Attempts of which none has run.
     static constexpr std::uint32_t most_refusals = 3;
 
@@ -214,7 +216,11 @@
             }
             const auto result = co_await attempt.run(current);
             note_crash(current, result);
-            ++current.state.attempts;
+            // An upstream that cannot be reached leaves the request to the others.
+            const bool unreached = result == cw_attempt_result::not_connected;
+            if (!unreached || current.fence != 0 || ++current.unreached > most_unreached) {
+                ++current.state.attempts;
+            }
             current.state.may_have_run =
                 current.state.may_have_run || !cw_surely_did_not_run(result);
             current.state.budget_left = traffic_.budget(current.service).has_token();
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -258,3 +258,14 @@
     CHECK(count == 3);
     CHECK(gateway.metrics().exposition().find("upstream_connections_total 1") != std::string::npos);
 }
+
+TEST_CASE("request_whose_upstreams_cannot_be_reached_is_run_by_one_that_can") {
+    cw_gateway_call gateway{{fine(), fine(), fine(), fine()}};
+    for (std::size_t place = 0; place < 3; ++place) {
+        gateway.lose(place);
+    }
+    for (int i = 0; i < 4; ++i) {
+        CHECK(cw_status_of(gateway.call("POST", "/order/a", named, "x")) == 200);
+    }
+    CHECK(gateway.upstream(3).requests() == 4);
+}
--- a/Tests/Gateway/cw_gateway_call.cpp
+++ b/Tests/Gateway/cw_gateway_call.cpp
@@ -105,6 +105,15 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_call::lose(std::size_t place) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    for (auto& [service, upstreams] : view->upstreams) {
+        upstreams.at(place).address = "127.0.0.1:1";
+    }
+    view_ = view;
+    traffic_.publish(view);
+}
+
 void cw_gateway_call::forget_config() {
     traffic_.publish(std::make_shared<const cw_gateway_view>());
 }
--- a/Tests/Gateway/cw_gateway_call.h
+++ b/Tests/Gateway/cw_gateway_call.h
@@ -26,6 +26,8 @@
     [[nodiscard]] cw_gateway_metrics& metrics() { return metrics_; }
     /// Publishes a table in which keys belong to the upstream given, settled or still moving.
     void give_keys(std::size_t place, bool is_moving);
+    /// Lets an upstream's address be one at which nothing listens.
+    void lose(std::size_t place);
     /// Takes the configuration away, as before the first read.
     void forget_config();
     /// Sends one request with the header fields given and returns everything that comes back.
--- a/Tests/Gateway/cw_platform_day.cpp
+++ b/Tests/Gateway/cw_platform_day.cpp
@@ -257,9 +257,11 @@
         check("no refused order had run", untrue == 0);
         check("no answer was another's", mixed_ == 0);
         check("nine in ten were served (" + std::to_string(share) + ")", share >= 0.9);
-        check("no key was away for more than 2 s (" + std::to_string(longest_absence_.count()) +
-                  " ms)",
-              longest_absence_ <= 2s);
+        // A stop in order takes no key away; a loss does for the lease and the time to notice it.
+        const auto bound = trouble_ == "stop-each" || trouble_ == "calm" ? 100ms : 2'000ms;
+        check("no key was away for more than " + std::to_string(bound.count()) + " ms (" +
+                  std::to_string(longest_absence_.count()) + " ms)",
+              longest_absence_ <= bound);
         return good_;
     }
 
