--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -95,7 +95,7 @@
     }
     bool changed = false;
     for (const auto& entry : event.written) {
-        changed = directory_.on_entry(entry, now) || changed;
+        changed = directory_.on_entry(entry) || changed;
     }
     for (const auto& id : event.removed) {
         changed = directory_.on_removed(id, now) || changed;
--- a/Source/cw_key_planner.cpp
+++ b/Source/cw_key_planner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace {
 
--- a/Source/cw_upstream_directory.cpp
+++ b/Source/cw_upstream_directory.cpp
@@ -8,7 +8,7 @@
     std::set<std::string> present;
     for (const auto& entry : entries) {
         present.insert(entry.id);
-        changed = on_entry(entry, now) || changed;
+        changed = on_entry(entry) || changed;
     }
     std::vector<std::string> absent;
     for (const auto& [id, entry] : entries_) {
@@ -22,7 +22,7 @@
     return changed;
 }
 
-bool cw_upstream_directory::on_entry(const cw_upstream_entry& entry, cw_boot_time now) {
+bool cw_upstream_directory::on_entry(const cw_upstream_entry& entry) {
     missing_.erase(entry.id);
     auto& known = entries_[entry.id];
     // An older life's last words may arrive after the new life's first.
@@ -32,7 +32,6 @@
     auto before = known;
     before.warm_at = entry.warm_at;
     known = entry;
-    static_cast<void>(now);
     return before != entry;
 }
 
--- a/Source/cw_upstream_directory.h
+++ b/Source/cw_upstream_directory.h
@@ -22,7 +22,7 @@
     /// All entries as one read showed them; others are missing. True when anything changed.
     bool on_list(const std::vector<cw_upstream_entry>& entries, cw_boot_time now);
     /// One entry was written. True when anything but its warm-up changed.
-    bool on_entry(const cw_upstream_entry& entry, cw_boot_time now);
+    bool on_entry(const cw_upstream_entry& entry);
     /// An entry was removed, or can no longer be read.
     bool on_removed(const std::string& id, cw_boot_time now);
     /// The store did not answer; entries that are missing from now on prove nothing for a while.
--- a/Source/cw_upstream_picker.cpp
+++ b/Source/cw_upstream_picker.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace {
 /// An upstream that has just started takes about so many times as long.
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -70,7 +70,7 @@
     directory.on_disturbance(start + 1s);
     CHECK_FALSE(directory.on_list({}, start + 2s));
     CHECK(directory.find("a") != nullptr);
-    directory.on_entry(entry("b", 1), start + 3s);
+    directory.on_entry(entry("b", 1));
     CHECK(directory.on_tick(start + 4s));
     CHECK(directory.find("a") == nullptr);
     CHECK(directory.find("b") != nullptr);
@@ -79,9 +79,9 @@
 TEST_CASE("directory_entry_of_an_older_life_changes_nothing") {
     cw_upstream_directory directory{2'500ms};
     directory.on_list({entry("a", 5)}, start);
-    CHECK_FALSE(directory.on_entry(entry("a", 4), start));
+    CHECK_FALSE(directory.on_entry(entry("a", 4)));
     CHECK(directory.find("a")->life == 5);
-    CHECK(directory.on_entry(entry("a", 6), start));
+    CHECK(directory.on_entry(entry("a", 6)));
     CHECK(directory.find("a")->life == 6);
 }
 
