Probe upstreams that were given up before they are given keys

Cause: an upstream that the steward cannot reach was a candidate again after three seconds, and got its share of keys as a newcomer. Ruled out: false proof of a loss (no key was held twice), slow moves (those to reachable upstreams settled within 0.5 s). Change: one that was given up is sent a release of one key of others, from 1.5 s after its last failure on, and is a candidate again when it answers; a new life of it is asked at once.

--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -207,14 +207,16 @@
     void carry_out(const cw_read_beat& command) { spawn(read_beat(command)); }
 
     nothing send_order(cw_key_order order) {
-        const bool grants = order.what == cw_key_order::kind::grant;
+        // Only a release waits for work to end.
+        const bool releases = order.what == cw_key_order::kind::release;
+        const std::string what = cw_key_order::name_of(order.what);
         const auto ended =
-            co_await orders_.send(order, after(grants ? grant_timeout : release_timeout));
-        traffic_.metrics().count(grants ? "grants" : "releases");
+            co_await orders_.send(order, after(releases ? release_timeout : grant_timeout));
+        traffic_.metrics().count(what + "s");
         if (ended.result != cw_order_result::done) {
             log_.info("An order was not carried out.",
                       {{"upstream", order.upstream.id},
-                       {"what", grants ? "grant" : "release"},
+                       {"what", what},
                        {"first", std::to_string(order.first)},
                        {"last", std::to_string(order.last)},
                        {"fence", std::to_string(order.fence)},
--- a/Source/cw_order_book.cpp
+++ b/Source/cw_order_book.cpp
@@ -26,13 +26,15 @@
         auto& ended = ended_lives_[order.upstream.id];
         ended = std::max(ended, order.upstream.life);
     }
-    if (order.what == cw_key_order::kind::grant) {
+    // A release is answered only when work has ended, so its silence says nothing.
+    if (order.what != cw_key_order::kind::release) {
         auto& upstream = upstreams_[order.upstream.id];
         if (event.result == cw_order_result::done || event.result == cw_order_result::fenced) {
             upstream.last_answer = now;
             upstream.failures = 0;
         } else {
-            upstream.last_failure = now;
+            upstream.next_probe = now + second_chance_;
+            upstream.tried_life = std::max(upstream.tried_life, order.upstream.life);
             ++upstream.failures;
         }
     }
@@ -56,8 +58,21 @@
 bool cw_order_book::is_silent(const std::string& id, cw_boot_time now) const {
     const auto known = upstreams_.find(id);
     return known != upstreams_.end() && known->second.failures >= least_failures &&
-           now > known->second.last_answer + silence_ &&
-           now < known->second.last_failure + second_chance_;
+           now > known->second.last_answer + silence_;
+}
+
+bool cw_order_book::take_probe(const cw_key_owner& upstream, cw_boot_time now) {
+    if (!is_silent(upstream.id, now)) {
+        return false;
+    }
+    auto& state = upstreams_[upstream.id];
+    const bool is_reborn = upstream.life > state.tried_life;
+    if (now < state.next_probe && !is_reborn) {
+        return false;
+    }
+    state.next_probe = now + second_chance_;
+    state.tried_life = upstream.life;
+    return true;
 }
 
 bool cw_order_book::is_replaced(const cw_key_owner& upstream) const {
--- a/Source/cw_order_book.h
+++ b/Source/cw_order_book.h
@@ -29,15 +29,19 @@
     [[nodiscard]] bool is_granting(const cw_key_range& range, const cw_key_owner& owner) const;
     /// True when as many orders are under way to the upstream as may be.
     [[nodiscard]] bool is_busy(const cw_key_owner& upstream) const;
-    /// True when grants to the upstream have failed for some time.
+    /// True when orders to the upstream have failed for some time and none has been answered since.
     [[nodiscard]] bool is_silent(const std::string& id, cw_boot_time now) const;
+    /// True when a silent upstream should be probed now. The caller sends a probe if so.
+    [[nodiscard]] bool take_probe(const cw_key_owner& upstream, cw_boot_time now);
     /// True when another upstream has answered at the address of this life.
     [[nodiscard]] bool is_replaced(const cw_key_owner& upstream) const;
 
 private:
     struct upstream_state {
         cw_boot_time last_answer{};
-        cw_boot_time last_failure{};
+        cw_boot_time next_probe{};
+        /// The newest life that was tried.
+        std::uint64_t tried_life = 0;
         std::uint32_t failures = 0;
     };
 
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -17,6 +17,8 @@
 constexpr auto in_flight = 200ms;
 /// Ranges for each owner above which neighbours are joined.
 constexpr std::size_t most_ranges = 3;
+/// Below every fence that moves keys, so that a probe which arrives late takes nothing away.
+constexpr std::uint64_t lowest_fence = 1;
 /// Fences that are skipped when an owner has seen a higher one.
 constexpr std::uint64_t fence_skip = 64;
 
@@ -251,6 +253,7 @@
     for (std::size_t place = 0; place < table_.ranges.size(); ++place) {
         order_range(place, now, out);
     }
+    probe_silent(now, out);
     if (!stopping_ && !store_busy_ && is_read_ && now >= next_store_call_) {
         plan(now, out);
     }
@@ -276,6 +279,28 @@
     send(std::move(order), out);
 }
 
+void cw_steward::probe_silent(cw_boot_time now, commands& out) {
+    for (const auto& [id, entry] : upstreams_) {
+        const cw_key_owner upstream{id, entry.life, entry.address};
+        const auto other = std::find_if(table_.ranges.begin(), table_.ranges.end(),
+                                        [&](const auto& range) { return range.owner.id != id; });
+        const auto own = std::find_if(table_.ranges.begin(), table_.ranges.end(),
+                                      [&](const auto& range) { return range.owner == upstream; });
+        // An owner is asked by its grants.
+        if (other == table_.ranges.end() || own != table_.ranges.end() ||
+            !orders_.take_probe(upstream, now)) {
+            continue;
+        }
+        cw_key_order order;
+        order.what = cw_key_order::kind::probe;
+        order.upstream = upstream;
+        order.first = other->first;
+        order.last = other->first;
+        order.fence = lowest_fence;
+        send(std::move(order), out);
+    }
+}
+
 bool cw_steward::free_holders(std::size_t place, cw_boot_time now, commands& out) {
     const auto& range = table_.ranges[place];
     auto& state = states_[place];
@@ -331,8 +356,10 @@
     }
     if (order.what == cw_key_order::kind::grant) {
         on_grant_ended(order, event, now);
-    } else {
+    } else if (order.what == cw_key_order::kind::release) {
         on_release_ended(order, event);
+    } else if (event.result == cw_order_result::done) {
+        note("upstream answers again", order.upstream.id, "");
     }
     settle(now);
     if (is_steward()) {
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -83,6 +83,8 @@
     void lead(cw_boot_time now, commands& out);
     void claim(cw_boot_time now, commands& out);
     void order_range(std::size_t place, cw_boot_time now, commands& out);
+    /// Asks upstreams that were given up whether they answer again.
+    void probe_silent(cw_boot_time now, commands& out);
     /// True when nobody but the owner can hold the range.
     bool free_holders(std::size_t place, cw_boot_time now, commands& out);
     [[nodiscard]] bool can_hold(const cw_key_range& range, const holder& who,
--- a/Source/cw_steward_command.h
+++ b/Source/cw_steward_command.h
@@ -11,7 +11,12 @@
 
 /// An order to an upstream, to take keys or to give them up.
 struct cw_key_order {
-    enum class kind { grant, release };
+    enum class kind {
+        grant,
+        release,
+        /// Releases a key that the upstream does not own, only to see whether it answers.
+        probe,
+    };
 
     /// Names the order in its result.
     std::uint64_t number = 0;
@@ -25,6 +30,11 @@
     std::chrono::milliseconds lease{0};
     /// Token of the keys' last holder; may be empty.
     std::string handover;
+
+    /// Name of the kind, for logs and counters.
+    [[nodiscard]] static constexpr const char* name_of(kind what) {
+        return what == kind::grant ? "grant" : what == kind::release ? "release" : "probe";
+    }
 };
 /// Reads a service's key table.
 struct cw_read_table {
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -16,8 +16,9 @@
     std::chrono::milliseconds release_retry{300};
     /// Time without an answer after which an owner is given up, if two orders in a row have failed.
     std::chrono::milliseconds silence{500};
-    /// Time after which an owner that was given up may be given keys again.
-    std::chrono::milliseconds second_chance{3'000};
+    /// Time after a failure until an owner that was given up is probed. One that answers may be
+    /// given keys again.
+    std::chrono::milliseconds second_chance{1'500};
     /// Age of the last confirmation by the store up to which a steward grants keys.
     std::chrono::milliseconds tenure{10'000};
     /// Pause before a store call that failed is sent again.
--- a/Tests/Gateway/cw_grant_world.cpp
+++ b/Tests/Gateway/cw_grant_world.cpp
@@ -316,7 +316,8 @@
     const auto name = host.name;
     const auto incarnation = host.incarnation;
     const auto upstream = upstreams_.find(order.upstream.id);
-    const bool grants = order.what == cw_key_order::kind::grant;
+    const auto timeout =
+        order.what == cw_key_order::kind::release ? release_timeout : grant_timeout;
     const auto finish = [=, this](std::chrono::milliseconds after, cw_order_ended ended) {
         at(after, [=, this]() mutable {
             ended.ended = now_;
@@ -329,7 +330,7 @@
     failed.number = order.number;
     if (upstream == upstreams_.end() || is_cut(name, order.upstream.id)) {
         failed.result = cw_order_result::unanswered;
-        finish(grants ? grant_timeout : release_timeout, failed);
+        finish(timeout, failed);
         return;
     }
     if (!upstream->second->up) {
@@ -349,7 +350,7 @@
             }
         });
         failed.result = cw_order_result::unanswered;
-        finish(grants ? grant_timeout : release_timeout, failed);
+        finish(timeout, failed);
         return;
     }
     at(message_time, [=, this, life = upstream->second->life]() mutable {
--- a/Tests/Gateway/cw_steward_test.cpp
+++ b/Tests/Gateway/cw_steward_test.cpp
@@ -75,6 +75,21 @@
     check_rules();
 }
 
+TEST_CASE_FIXTURE(settled_world, "upstream_that_stays_unreachable_is_not_given_keys_again") {
+    for (const auto& host : world.hosts()) {
+        world.cut(host, "u3");
+    }
+    world.run(4s);
+    world.forget_absence();
+    world.run(10s);
+    CHECK(keys_of("u3") == 0);
+    CHECK(world.longest_absence() <= 20ms);
+    world.heal();
+    world.run(2s);
+    CHECK(keys_of("u3") >= 4);
+    check_rules();
+}
+
 TEST_CASE_FIXTURE(settled_world, "keys_of_a_draining_upstream_move_at_once_and_are_hardly_away") {
     world.drain_upstream("u2");
     world.run(500ms);
