Let a steward that the store turns away be succeeded while it goes on granting

The other hosts, which the store answered, took it for healthy since it answered their reports. Ruled out: the store (it answered the other hosts), the beats (read only when reports fail). Change: a steward whose last confirmation is 2.5 s old asks for a successor in its answers to reports and goes on granting; a host that the store answers claims the office, tells the earlier steward with its table, and moves keys a lease after that one's word that it goes by the table. A read that is older than the known term no longer brings an earlier steward back. Earlier stewards have a class of their own.

--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -37,13 +37,15 @@
 /// An event that concerns one service's keys.
 struct cw_ownership_event {
     std::string service;
-    std::variant<cw_order_ended, cw_table_answer, cw_beat_answer, cw_contact> what;
+    std::variant<cw_order_ended, cw_table_answer, cw_beat_answer, cw_contact, cw_gave_way> what;
 };
 /// The steward's answer to this host's report.
 struct cw_steward_answer {
     std::string service;
     cw_key_table table;
     std::uint32_t hosts = 1;
+    /// True when the store does not answer the steward.
+    bool seeks_successor = false;
     /// Requests that crashed upstreams, with the number of crashes; nothing from a steward that
     /// does not gather them.
     std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
@@ -53,6 +55,11 @@
     std::string service;
     cw_key_table table;
 };
+/// The key table of a host that says it has succeeded this one.
+struct cw_succession {
+    std::string service;
+    cw_key_table table;
+};
 /// Requests for keys that this host took since its last report.
 struct cw_local_load {
     std::string service;
@@ -68,4 +75,5 @@
 using cw_control_event =
     std::variant<cw_clock_tick, cw_config_seen, cw_upstreams_listed, cw_upstreams_changed,
                  cw_store_disturbed, cw_ownership_event, cw_steward_answer, cw_table_copy,
-                 cw_host_report, cw_local_load, cw_crash_note, cw_ownership_bounds, cw_stop_asked>;
+                 cw_succession, cw_host_report, cw_local_load, cw_crash_note, cw_ownership_bounds,
+                 cw_stop_asked>;
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -26,6 +26,13 @@
             events_.push_back(std::move(item));
         }
         output.stewards.emplace(service, steward->table().steward);
+        const bool seeks = steward->seeks_successor(now);
+        changed_ = changed_ || seeks != seeking_.contains(service);
+        if (seeks) {
+            seeking_.insert(service);
+        } else {
+            seeking_.erase(service);
+        }
     }
     if (changed_ || tables_changed()) {
         view_ = make_view();
@@ -134,13 +141,17 @@
         steward->on_beat_answer(*beat, now);
     } else if (const auto* contact = std::get_if<cw_contact>(&event.what)) {
         steward->on_contact(*contact, now);
+    } else if (const auto* ended = std::get_if<cw_gave_way>(&event.what)) {
+        steward->on_gave_way(*ended, now);
     }
 }
 
 void cw_gateway_control::on(const cw_steward_answer& event, cw_boot_time now) {
     if (auto* steward = steward_of(event.service)) {
         steward->on_copy(event.table, now);
-        steward->on_contact(cw_contact::heard, now);
+        // In an outage for all, nobody can do better.
+        const bool may_follow = event.seeks_successor && !store_lost_;
+        steward->on_contact(may_follow ? cw_contact::seeks_successor : cw_contact::heard, now);
         if (!steward->is_steward() && hosts_ != event.hosts) {
             hosts_ = event.hosts;
             changed_ = true;
@@ -160,6 +171,12 @@
     }
 }
 
+void cw_gateway_control::on(const cw_succession& event, cw_boot_time now) {
+    if (auto* steward = steward_of(event.service)) {
+        steward->on_succession(event.table, now);
+    }
+}
+
 void cw_gateway_control::on(const cw_host_report& event, cw_boot_time now) {
     members_[event.host] = now;
     for (auto& [service, steward] : stewards_) {
@@ -249,6 +266,7 @@
     view->config = config_;
     view->hosts = hosts_;
     view->stopping = stopping_;
+    view->seeking = seeking_;
     view->crashes = gathers() ? ledger_.all() : told_crashes_;
     for (const auto& [id, entry] : directory_.entries()) {
         if (!entry.leaving) {
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,7 @@
     void on(const cw_ownership_event& event, cw_boot_time now);
     void on(const cw_steward_answer& event, cw_boot_time now);
     void on(const cw_table_copy& event, cw_boot_time now);
+    void on(const cw_succession& event, cw_boot_time now);
     void on(const cw_host_report& event, cw_boot_time now);
     void on(const cw_local_load& event, cw_boot_time now);
     void on(const cw_crash_note& event, cw_boot_time now);
@@ -80,6 +82,8 @@
     bool stopping_ = false;
     bool changed_ = false;
     bool store_lost_ = false;
+    /// Services whose steward this host is without an answer from the store.
+    std::set<std::string> seeking_;
     std::shared_ptr<const cw_gateway_view> view_;
     std::vector<cw_steward_command> commands_;
     std::vector<cw_timeline_event> events_;
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -44,7 +44,7 @@
               [this](const cw_error& error, std::uint64_t revision) { reject(error, revision); }},
           orders_{order_http_},
           server_{context, options.peers,
-                  [this](cw_http_request request) { return take_report(std::move(request)); }} {}
+                  [this](cw_http_request request) { return take(std::move(request)); }} {}
 
     void start() {
         traffic_.crashes().set_reporter(
@@ -247,6 +247,28 @@
         deliver(cw_ownership_event{command.service, answer});
     }
 
+    void carry_out(const cw_tell_predecessor& command) { spawn(tell_predecessor(command)); }
+
+    nothing tell_predecessor(cw_tell_predecessor command) {
+        cw_http_request request{boost::beast::http::verb::post,
+                                std::string{succession_path} + "?service=" + command.service, 11};
+        request.set(boost::beast::http::field::host, command.to.address);
+        request.body() = std::move(command.table);
+        const auto answer = co_await peer_http_.request(command.to.address, std::move(request),
+                                                        after(report_interval + report_grace));
+        if (!answer) {
+            log_.info("An earlier steward cannot be told.",
+                      {{"service", command.service}, {"error", answer.error().text()}});
+            co_return;
+        }
+        const auto value = nlohmann::json::parse(answer->body(), nullptr, false);
+        const bool is_it = value.is_object() && value.value("host", "") == command.to.host &&
+                           value.value("incarnation", std::uint64_t{0}) == command.to.incarnation;
+        if (answer->result() == boost::beast::http::status::ok && is_it) {
+            deliver(cw_ownership_event{command.service, cw_gave_way{command.to, command.term}});
+        }
+    }
+
     /// Reports a service's load to its steward for as long as the process runs.
     nothing report(std::string service) {
         while (true) {
@@ -320,7 +342,8 @@
             deliver(cw_table_copy{service, std::move(table)});
             return false;
         }
-        cw_steward_answer told{service, std::move(table), value.value("hosts", 1U), std::nullopt};
+        cw_steward_answer told{service, std::move(table), value.value("hosts", 1U),
+                               value.value("seeks_successor", false), std::nullopt};
         if (value.contains("crashes")) {
             told.crashes = value["crashes"].get<std::map<std::uint64_t, std::uint32_t>>();
         }
@@ -341,6 +364,52 @@
         return std::exchange(counts_[service], {});
     }
 
+    boost::asio::awaitable<cw_http_response> take(cw_http_request request) {
+        const std::string_view target{request.target().data(), request.target().size()};
+        if (target.starts_with(succession_path)) {
+            return take_succession(std::move(request));
+        }
+        return take_report(std::move(request));
+    }
+
+    /// Takes the table of a host that has succeeded this one. Answers with 200 once this host goes
+    /// by that table, so that it grants no more.
+    boost::asio::awaitable<cw_http_response> take_succession(cw_http_request request) {
+        namespace http = boost::beast::http;
+        const std::string_view target{request.target().data(), request.target().size()};
+        const std::string service{target.substr(target.rfind('=') + 1)};
+        auto read = cw_key_table::parse(request.body());
+        if (!read) {
+            log_.warning("A successor's table cannot be read.", {{"error", read.error().text()}});
+            co_return cw_make_response(http::status::bad_request, "{}");
+        }
+        const auto term = read->term;
+        deliver(cw_succession{service, std::move(*read)});
+        const auto until = after(report_interval);
+        bool knows = co_await wait_for_view(until, [&] { return knows_term(service, term); });
+        const nlohmann::json answer{{"host", self_.host}, {"incarnation", self_.incarnation}};
+        co_return cw_make_response(knows ? http::status::ok : http::status::conflict,
+                                   answer.dump());
+    }
+
+    [[nodiscard]] bool knows_term(const std::string& service, std::uint64_t term) const {
+        const auto table = view_ == nullptr ? nullptr : table_of(service);
+        return table != nullptr && table->term >= term;
+    }
+
+    /// Waits until something holds in the view; false when it does not by then.
+    template <typename Condition>
+    boost::asio::awaitable<bool> wait_for_view(cw_time_point until, Condition holds) {
+        while (!holds() && std::chrono::steady_clock::now() < until) {
+            boost::asio::steady_timer timer{context_, until};
+            const auto place = waiting_.insert(waiting_.end(), &timer);
+            boost::system::error_code failure;
+            co_await timer.async_wait(cw_into(failure));
+            waiting_.erase(place);
+        }
+        co_return holds();
+    }
+
     /// Takes another host's report and answers when the table has changed, or after a while.
     boost::asio::awaitable<cw_http_response> take_report(cw_http_request request) {
         namespace http = boost::beast::http;
@@ -354,18 +423,17 @@
         cw_key_table known;
         known.term = cw_query_number(target, "term", 0);
         known.edition = cw_query_number(target, "edition", 0);
-        const auto until = after(report_interval);
-        auto table = view_ == nullptr ? nullptr : table_of(report->service);
-        while (table != nullptr && table->steward == self_ && !table->is_after(known) &&
-               std::chrono::steady_clock::now() < until) {
-            boost::asio::steady_timer timer{context_, until};
-            const auto place = waiting_.insert(waiting_.end(), &timer);
-            boost::system::error_code failure;
-            co_await timer.async_wait(cw_into(failure));
-            waiting_.erase(place);
-            table = table_of(report->service);
-        }
+        const bool was_seeking = seeks(report->service);
+        static_cast<void>(co_await wait_for_view(after(report_interval), [&] {
+            const auto latest = view_ == nullptr ? nullptr : table_of(report->service);
+            return latest == nullptr || latest->steward != self_ || latest->is_after(known) ||
+                   (seeks(report->service) && !was_seeking);
+        }));
+        const auto table = view_ == nullptr ? nullptr : table_of(report->service);
         nlohmann::json answer{{"hosts", view_ == nullptr ? 1U : view_->hosts}};
+        if (seeks(report->service)) {
+            answer["seeks_successor"] = true;
+        }
         if (table != nullptr && table->is_after(known)) {
             answer["table"] = nlohmann::json::parse(table->to_text());
         }
@@ -377,6 +445,12 @@
                                    answer.dump());
     }
 
+    /// True when this host is the service's steward and the store does not answer it.
+    [[nodiscard]] bool seeks(const std::string& service) const {
+        return view_ != nullptr && view_->seeking.contains(service);
+    }
+
+    static constexpr std::string_view succession_path{"/v1/succession"};
     static constexpr std::size_t most_rejected = 1'000;
 
     boost::asio::io_context& context_;
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     std::uint32_t hosts = 1;
     /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
     std::map<std::uint64_t, std::uint32_t> crashes;
+    /// Services whose steward this host is without an answer from the store.
+    std::set<std::string> seeking;
     /// True once the process has been told to stop.
     bool stopping = false;
 };
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -13,8 +13,6 @@
 constexpr auto confirm_interval = 1'500ms;
 /// Time for which settled moves may be missing from the store's copy.
 constexpr auto save_delay = 1'000ms;
-/// Allowance for orders that a predecessor had sent when it ended.
-constexpr auto in_flight = 200ms;
 /// Ranges for each owner above which neighbours are joined.
 constexpr std::size_t most_ranges = 3;
 /// Below every fence that moves keys, so that a probe which arrives late takes nothing away.
@@ -35,6 +33,7 @@
       options_{options},
       suspicion_{options_, seed},
       orders_{options_},
+      predecessors_{options_, self_.host},
       load_{load_half_life} {}
 
 bool cw_steward::is_steward() const {
@@ -97,13 +96,37 @@
 }
 
 void cw_steward::on_member(const std::string& host, std::uint64_t incarnation, cw_boot_time now) {
-    auto& known = incarnations_[host];
-    if (incarnation > known) {
-        known = incarnation;
-        check_predecessors(now);
+    predecessors_.on_process(host, incarnation);
+    check_predecessors(now);
+}
+
+void cw_steward::on_succession(const cw_key_table& table, cw_boot_time now) {
+    if (table.term <= table_.term) {
+        return;
+    }
+    const bool was_steward = is_steward();
+    adopt(table, now);
+    // The revision that was read is no longer the latest.
+    is_read_ = false;
+    if (was_steward) {
+        suspicion_.on_succeeded(now);
+        note("steward is succeeded", table_.steward.host,
+             "term " + std::to_string(table_.term) + ", by its own word");
     }
 }
 
+void cw_steward::on_gave_way(const cw_gave_way& event, cw_boot_time now) {
+    if (event.term != table_.term) {
+        return;
+    }
+    predecessors_.on_gave_way(event.who);
+    check_predecessors(now);
+}
+
+bool cw_steward::seeks_successor(cw_boot_time now) const {
+    return is_steward() && now > confirmed_ + options_.most_unconfirmed;
+}
+
 void cw_steward::set_tenure(std::chrono::milliseconds tenure) {
     // A successor that relies on a shorter tenure than its predecessor had would not wait for its
     // last grants, so a bound only grows within the life of a process.
@@ -160,25 +183,22 @@
     const bool was_steward = is_steward();
     if (event.table) {
         // The store's copy decides who the steward is, also when this host's own copy is ahead.
-        if (event.table->is_after(table_) || event.table->steward != table_.steward) {
+        const bool is_stale = event.table->term < table_.term;
+        if (!is_stale &&
+            (event.table->is_after(table_) || event.table->steward != table_.steward)) {
             adopt(*event.table, now);
         }
-        if (event.table->steward == self_) {
+        if (!is_stale && event.table->steward == self_) {
             confirmed_ = event.sent;
         }
     }
     if (is_steward() && !was_steward) {
-        const auto wait = table_.predecessors.empty()
-                              ? options_.longest_hold() + in_flight
-                              : options_.tenure * 21 / 20 + options_.longest_hold() + in_flight;
-        predecessors_end_ = now + wait;
+        const auto wait = predecessors_.begin(table_.predecessors, options_, now);
         orders_.forget_upstreams();
         next_balance_ = now + options_.balance;
         note("steward takes over", self_.host,
              "term " + std::to_string(table_.term) + ", earlier grants end within " +
-                 std::to_string(
-                     std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()) +
-                 " ms");
+                 std::to_string(wait.count()) + " ms");
         check_predecessors(now);
     }
     if (was_steward && !is_steward()) {
@@ -221,10 +241,7 @@
     }
     auto copy = table_;
     const auto& last = table_.steward;
-    const auto known = incarnations_.find(last.host);
-    const bool ended = last.host.empty() || last.host == self_.host ||
-                       (known != incarnations_.end() && known->second > last.incarnation);
-    if (!ended) {
+    if (!last.host.empty() && !predecessors_.is_replaced(last)) {
         copy.predecessors.push_back(last);
     }
     copy.steward = self_;
@@ -250,6 +267,9 @@
         return;
     }
     check_predecessors(now);
+    for (const auto& earlier : predecessors_.take_untold(table_.predecessors, now)) {
+        out.emplace_back(cw_tell_predecessor{service_, earlier, table_.term, table_.to_text()});
+    }
     for (std::size_t place = 0; place < table_.ranges.size(); ++place) {
         order_range(place, now, out);
     }
@@ -330,7 +350,8 @@
     if (has_ended(who.who)) {
         return false;
     }
-    return now <= std::max(who.hold_end, predecessors_end_) || orders_.is_granting(range, who.who);
+    return now <= std::max(who.hold_end, predecessors_.end()) ||
+           orders_.is_granting(range, who.who);
 }
 
 bool cw_steward::has_ended(const cw_key_owner& owner) const {
@@ -444,20 +465,8 @@
 }
 
 void cw_steward::check_predecessors(cw_boot_time now) {
-    if (table_.predecessors.empty() || !is_steward()) {
-        return;
-    }
-    const auto is_proven = [&](const cw_steward_id& earlier) {
-        const auto known = incarnations_.find(earlier.host);
-        return earlier.host == self_.host ||
-               (known != incarnations_.end() && known->second > earlier.incarnation);
-    };
-    std::erase_if(table_.predecessors, is_proven);
-    if (table_.predecessors.empty()) {
-        predecessors_end_ = std::min(predecessors_end_, now + options_.longest_hold() + in_flight);
+    if (is_steward() && predecessors_.drop_ended(table_.predecessors, now)) {
         note("earlier stewards have ended", self_.host, "");
-    } else if (now > predecessors_end_) {
-        table_.predecessors.clear();
     }
 }
 
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -2,6 +2,7 @@
 
 #include "cw_key_load.h"
 #include "cw_order_book.h"
+#include "cw_predecessors.h"
 #include "cw_steward_command.h"
 #include "cw_steward_event.h"
 #include "cw_steward_options.h"
@@ -38,6 +39,9 @@
     /// A copy of the table from another host.
     void on_copy(const cw_key_table& table, cw_boot_time now);
     void on_contact(cw_contact contact, cw_boot_time now);
+    /// Another host shows by its table that it has succeeded this one.
+    void on_succession(const cw_key_table& table, cw_boot_time now);
+    void on_gave_way(const cw_gave_way& event, cw_boot_time now);
     /// A process of the given host reported; an earlier one of the same host has ended.
     void on_member(const std::string& host, std::uint64_t incarnation, cw_boot_time now);
     void on_load(const std::vector<cw_key_count>& counts, cw_boot_time now);
@@ -52,6 +56,9 @@
     [[nodiscard]] bool is_steward() const;
     /// True while this host may grant keys.
     [[nodiscard]] bool may_grant(cw_boot_time now) const;
+    /// True when the store has not confirmed this steward for so long that one whom the store
+    /// answers should succeed it.
+    [[nodiscard]] bool seeks_successor(cw_boot_time now) const;
     /// Takes the decisions made since the last call, for log and time line.
     [[nodiscard]] std::vector<cw_timeline_event> take_events();
 
@@ -112,6 +119,7 @@
     cw_steward_options options_;
     cw_steward_suspicion suspicion_;
     cw_order_book orders_;
+    cw_predecessors predecessors_;
     bool is_started_ = false;
 
     cw_key_table table_;
@@ -130,8 +138,6 @@
     cw_boot_time next_store_call_{};
     /// When the last call was sent by which the store confirmed that this host is the steward.
     cw_boot_time confirmed_{};
-    /// Latest end of what earlier stewards may have granted.
-    cw_boot_time predecessors_end_{};
     bool stopping_ = false;
     /// Since when the store's copy lacks what has settled; the clock's beginning for no such time.
     cw_boot_time unsaved_since_{};
@@ -139,8 +145,6 @@
     bool beat_busy_ = false;
     cw_boot_time next_beat_{};
     std::uint64_t beat_ = 0;
-    /// The highest incarnation seen of each host.
-    std::map<std::string, std::uint64_t> incarnations_;
 
     cw_key_load load_;
     cw_boot_time next_balance_{};
--- a/Source/cw_steward_command.h
+++ b/Source/cw_steward_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_key_range.h"
+#include "cw_key_table.h"
 
 #include <chrono>
 #include <cstdint>
@@ -55,6 +56,13 @@
 struct cw_read_beat {
     std::string service;
 };
+/// Tells an earlier steward that it was succeeded, by the table that names its successor.
+struct cw_tell_predecessor {
+    std::string service;
+    cw_steward_id to;
+    std::uint64_t term = 0;
+    std::string table;
+};
 
-using cw_steward_command =
-    std::variant<cw_key_order, cw_read_table, cw_write_table, cw_write_beat, cw_read_beat>;
+using cw_steward_command = std::variant<cw_key_order, cw_read_table, cw_write_table, cw_write_beat,
+                                        cw_read_beat, cw_tell_predecessor>;
--- a/Source/cw_steward_event.h
+++ b/Source/cw_steward_event.h
@@ -60,7 +60,15 @@
 /// What came of this host's report to the steward.
 enum class cw_contact {
     heard,
+    /// It answers, but the store does not answer it, so it asks for a successor.
+    seeks_successor,
     /// Nothing listens at the steward's address.
     refused,
     silent
 };
+/// An earlier steward knows that this host has succeeded it, and grants no more.
+struct cw_gave_way {
+    cw_steward_id who;
+    /// The successor's term.
+    std::uint64_t term = 0;
+};
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -21,6 +21,11 @@
     std::chrono::milliseconds second_chance{1'500};
     /// Age of the last confirmation by the store up to which a steward grants keys.
     std::chrono::milliseconds tenure{10'000};
+    /// Age of the last confirmation by the store from which a steward asks for a successor that
+    /// the store answers.
+    std::chrono::milliseconds most_unconfirmed{2'500};
+    /// Interval at which a predecessor is told again that it was succeeded.
+    std::chrono::milliseconds succession_retry{300};
     /// Pause before a store call that failed is sent again.
     std::chrono::milliseconds store_retry{150};
     /// Interval at which the steward shows in the store that it lives.
--- a/Source/cw_steward_suspicion.cpp
+++ b/Source/cw_steward_suspicion.cpp
@@ -16,6 +16,7 @@
 void cw_steward_suspicion::reset(cw_boot_time now) {
     contact_ = now;
     refused_ = false;
+    sought_ = false;
     beat_.reset();
 }
 
@@ -25,10 +26,14 @@
 }
 
 void cw_steward_suspicion::on_contact(cw_contact contact, cw_boot_time now) {
-    if (contact == cw_contact::heard) {
+    const bool may_follow = (contact == cw_contact::refused && !refused_) ||
+                            (contact == cw_contact::seeks_successor && !sought_);
+    if (contact == cw_contact::heard || contact == cw_contact::seeks_successor) {
         reset(now);
-    } else if (contact == cw_contact::refused && !refused_) {
-        refused_ = true;
+    }
+    refused_ = refused_ || contact == cw_contact::refused;
+    sought_ = contact == cw_contact::seeks_successor;
+    if (may_follow) {
         const std::chrono::milliseconds delay{
             static_cast<std::int64_t>(engine_() % most_claim_delay_ms)};
         claim_from_ = std::max(claim_from_, now + delay);
@@ -48,5 +53,6 @@
 
 bool cw_steward_suspicion::may_claim(bool is_vacant, cw_boot_time now) const {
     const bool stands_still = beat_ && now > still_since_ + still_;
-    return now >= claim_from_ && (is_vacant || refused_ || (is_silent(now) && stands_still));
+    return now >= claim_from_ &&
+           (is_vacant || refused_ || sought_ || (is_silent(now) && stands_still));
 }
--- a/Source/cw_steward_suspicion.h
+++ b/Source/cw_steward_suspicion.h
@@ -12,7 +12,7 @@
 ///
 /// A steward at whose address nothing listens is lost. One that is merely silent is lost when its
 /// beats in the store stand still as well: a host that is cut off from the steward alone must not
-/// take over.
+/// take over. One that says that the store does not answer it may be succeeded by any host.
 class cw_steward_suspicion {
 public:
     cw_steward_suspicion(const cw_steward_options& options, std::uint64_t seed);
@@ -38,6 +38,8 @@
     /// When the steward was last heard.
     cw_boot_time contact_{};
     bool refused_ = false;
+    /// It asked for a successor when it was last heard.
+    bool sought_ = false;
     cw_boot_time claim_from_{};
     /// The beats as last read, and since when they have stood still.
     std::optional<std::uint64_t> beat_;
--- a/Tests/Gateway/cw_grant_world.cpp
+++ b/Tests/Gateway/cw_grant_world.cpp
@@ -182,10 +182,12 @@
         steward.on_member(name, incarnation, now_);
         steward.on_load(counts, now_);
         const auto copy = steward.table();
-        const bool leads = steward.is_steward();
-        deliver(name, incarnation, [this, copy, leads](auto& host, auto&) {
+        const auto told = !steward.is_steward()           ? cw_contact::silent
+                          : steward.seeks_successor(now_) ? cw_contact::seeks_successor
+                                                          : cw_contact::heard;
+        deliver(name, incarnation, [this, copy, told](auto& host, auto&) {
             host.steward.on_copy(copy, now_);
-            host.steward.on_contact(leads ? cw_contact::heard : cw_contact::silent, now_);
+            host.steward.on_contact(told, now_);
         });
         return;
     }
@@ -364,6 +366,23 @@
     });
 }
 
+void cw_grant_world::carry_out(host_process& host, const cw_tell_predecessor& command) {
+    if (is_cut(host.name, command.to.host)) {
+        return;
+    }
+    at(message_time, [this, command, from = host.name, incarnation = host.incarnation] {
+        const auto table = *cw_key_table::parse(command.table);
+        deliver(command.to.host, command.to.incarnation, [=, this](auto& earlier, auto&) {
+            earlier.steward.on_succession(table, now_);
+            at(message_time, [=, this] {
+                deliver(from, incarnation, [=, this](auto& who, auto&) {
+                    who.steward.on_gave_way({command.to, command.term}, now_);
+                });
+            });
+        });
+    });
+}
+
 void cw_grant_world::answer_table(const host_process& host, cw_table_answer answer, bool lost) {
     const auto name = host.name;
     const auto incarnation = host.incarnation;
--- a/Tests/Gateway/cw_grant_world.h
+++ b/Tests/Gateway/cw_grant_world.h
@@ -83,6 +83,7 @@
     void carry_out(host_process& host, const cw_write_table& command);
     void carry_out(host_process& host, const cw_write_beat& command);
     void carry_out(host_process& host, const cw_read_beat& command);
+    void carry_out(host_process& host, const cw_tell_predecessor& command);
     /// Hands something to a host when it is not frozen, if it still is the same process.
     void deliver(const std::string& host, std::uint64_t incarnation,
                  const std::function<void(host_process&, cw_steward::commands&)>& what);
--- a/Tests/Gateway/cw_steward_test.cpp
+++ b/Tests/Gateway/cw_steward_test.cpp
@@ -90,6 +90,34 @@
     check_rules();
 }
 
+TEST_CASE_FIXTURE(settled_world, "steward_that_the_store_turns_away_is_succeeded_without_a_gap") {
+    const auto first = world.steward();
+    world.cut(first, "store");
+    world.run(5s);
+    CHECK(world.steward() != first);
+    CHECK(world.longest_absence() <= 20ms);
+    world.crash_upstream("u3");
+    world.run(4s);
+    CHECK(keys_of("u3") == 0);
+    CHECK(world.longest_absence() <= 1'500ms);
+    world.forget_absence();
+    world.heal();
+    world.run(20s);
+    CHECK(world.longest_absence() <= 20ms);
+    check_rules();
+}
+
+TEST_CASE_FIXTURE(settled_world, "steward_in_an_outage_for_all_stays_the_steward") {
+    const auto first = world.steward();
+    world.set_store_down(true);
+    world.run(7s);
+    world.set_store_down(false);
+    world.run(2s);
+    CHECK(world.steward() == first);
+    CHECK(world.longest_absence() <= 20ms);
+    check_rules();
+}
+
 TEST_CASE_FIXTURE(settled_world, "keys_of_a_draining_upstream_move_at_once_and_are_hardly_away") {
     world.drain_upstream("u2");
     world.run(500ms);
