Find the store again soon after it was silent

Ruled out: the steward's moves (the upstream's leaving was unknown to every host), the list after a lost history (the history was not lost). Change: a watch waits 1.5 s, and the first one after a failure does not wait. Upstreams beat more often than that, so calls hardly rise.

--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -98,7 +98,9 @@
     static constexpr milliseconds store_timeout{1'200};
     static constexpr milliseconds table_timeout{800};
     static constexpr milliseconds store_retry{250};
-    static constexpr milliseconds watch_wait{15'000};
+    /// A watch that waits while the store falls silent is never answered, also when the store is
+    /// back, and until its deadline nothing is heard of upstreams that leave.
+    static constexpr milliseconds watch_wait{1'500};
     static constexpr milliseconds watch_grace{1'500};
     /// A cut watch looks like one without news, so none waits longer than this.
     static constexpr milliseconds config_wait{1'000};
@@ -174,15 +176,17 @@
 
     nothing follow_upstreams() {
         std::uint64_t revision = 0;
+        // The first watch after a failure does not wait, so that its silence shows soon.
+        auto wait = watch_wait;
         while (true) {
             const bool lists = revision == 0;
             cw_result<cw_upstream_change> seen;
             if (lists) {
                 seen = co_await store_.list_upstreams(after(store_timeout));
             } else {
-                seen = co_await store_.watch_upstreams(revision, watch_wait,
-                                                       after(watch_wait + watch_grace));
+                seen = co_await store_.watch_upstreams(revision, wait, after(wait + watch_grace));
             }
+            wait = seen ? watch_wait : milliseconds{0};
             if (!seen) {
                 deliver(cw_store_disturbed{seen.error().text()});
                 co_await pause_about(store_retry);
--- a/Tests/Gateway/cw_platform_day.cpp
+++ b/Tests/Gateway/cw_platform_day.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/write.hpp>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace net = boost::asio;
@@ -28,6 +29,8 @@
 constexpr std::size_t plain_instances = 2;
 constexpr auto heartbeat = 300ms;
 constexpr auto look_interval = 10ms;
+/// Time after which no request may reach an instance whose leaving was announced.
+constexpr auto most_drain = 2s;
 constexpr std::uint32_t key_step = 1'024;
 
 json configuration(std::uint64_t version) {
@@ -155,6 +158,14 @@
             co_await pause(3s);
             instances_[1]->restart();
             announce(*instances_[1], "ready");
+        } else if (trouble_ == "drain-after-outage") {
+            store_.set_down(true);
+            co_await pause(3s);
+            store_.set_down(false);
+            // By then every gateway must have found the store again.
+            co_await pause(3s);
+            announce(*instances_[2], "draining");
+            drained_at_ = std::chrono::steady_clock::now();
         } else if (trouble_ == "drain") {
             announce(*instances_[2], "draining");
         } else if (trouble_ == "lost-answers") {
@@ -259,6 +270,14 @@
         check("nine in ten were served (" + std::to_string(share) + ")", share >= 0.9);
         // A stop in order takes no key away; a loss does for the lease and the time to notice it.
         const auto bound = trouble_ == "stop-each" || trouble_ == "calm" ? 100ms : 2'000ms;
+        if (drained_at_) {
+            const auto& runs_there = instances_[2]->runs();
+            const auto late =
+                std::count_if(runs_there.begin(), runs_there.end(), [&](const auto& run) {
+                    return run.begin > *drained_at_ + most_drain;
+                });
+            check("no request reached a leaving instance late", late == 0);
+        }
         check("no key was away for more than " + std::to_string(bound.count()) + " ms (" +
                   std::to_string(longest_absence_.count()) + " ms)",
               longest_absence_ <= bound);
@@ -275,6 +294,7 @@
     std::uint64_t sequence_ = 0;
     std::map<std::uint32_t, std::chrono::steady_clock::time_point> held_at_;
     std::chrono::milliseconds longest_absence_{0};
+    std::optional<std::chrono::steady_clock::time_point> drained_at_;
     std::size_t two_owners_ = 0;
     std::size_t asked_ = 0;
     std::size_t unconnected_ = 0;
--- a/Tests/Gateway/cw_platform_standin.cpp
+++ b/Tests/Gateway/cw_platform_standin.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t page_size = 4;
 constexpr std::size_t most_history = 500;
 /// A call to a store that is down stays without an answer for so long.
-constexpr auto silence = 5s;
+constexpr auto silence = 30s;
 } // namespace
 
 cw_platform_standin::cw_platform_standin(net::io_context& context, const cw_address& address)
@@ -99,7 +99,11 @@
     const auto until = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds{cw_query_number(target, "waitMs", 0)};
     json answer{{"events", json::array()}};
+    const auto outages = outages_;
     while (true) {
+        if (outages != outages_) {
+            co_await pause(silence);
+        }
         if (from < forgotten_) {
             co_return cw_make_response(http::status::gone, "{}");
         }
--- a/Tests/Gateway/cw_platform_standin.h
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -24,7 +24,12 @@
     /// Writes an object as the operator or an upstream would.
     void put(const std::string& kind, const std::string& name, nlohmann::json spec);
     void remove(const std::string& kind, const std::string& name);
-    void set_down(bool down) { down_ = down; }
+    /// Calls that arrive while the store is down, and watches that wait then, stay without an
+    /// answer, also when it is back.
+    void set_down(bool down) {
+        down_ = down;
+        outages_ += down ? 1 : 0;
+    }
     void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
     /// Share of the writes that are done and not answered.
     void set_lost_answers(double share) { lost_answers_ = share; }
@@ -56,6 +61,7 @@
     std::uint64_t revision_ = 1;
     std::list<boost::asio::steady_timer*> waiting_;
     bool down_ = false;
+    std::size_t outages_ = 0;
     std::chrono::milliseconds delay_{0};
     double lost_answers_ = 0.0;
     std::size_t calls_ = 0;
--- a/Tests/Gateway/platform_day.sh
+++ b/Tests/Gateway/platform_day.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Three gateways on the platform's stand-in, with one trouble: platform_day.sh DIRECTORY-OF-PROGRAMS TROUBLE BASE-PORT
-# Troubles: calm, kill-all, stop-each, and those of cw_platform_day (store-down, crash, drain, lost-answers, forgotten).
+# Troubles: calm, kill-all, stop-each, and those of cw_platform_day (store-down, crash, drain, drain-after-outage, lost-answers, forgotten).
 set -u
 bin=$1 trouble=$2 base=$3
 work=$(mktemp -d)
@@ -23,7 +23,9 @@
     pids[$1]=$!
 }
 
-"$bin/cw_platform_day" "$base" 8 "$trouble" $((base + 20)) $((base + 25)) $((base + 30)) >"$work/day" &
+seconds=8
+[ "$trouble" = drain-after-outage ] && seconds=11
+"$bin/cw_platform_day" "$base" "$seconds" "$trouble" $((base + 20)) $((base + 25)) $((base + 30)) >"$work/day" &
 day=$!
 for try in $(seq 100); do grep -q "store is up" "$work/day" && break; sleep 0.05; done
 for i in 0 1 2; do start_gateway "$i"; done
