Show all wrong settings at once and name unknown variables

The first mistake hid the others. Now each is a line. A variable of the product's form that is no setting of the program is named and ends nothing: several programs share an environment, and the platform puts one of its own there.

--- a/Source/cw_settings.cpp
+++ b/Source/cw_settings.cpp
@@ -9,11 +9,15 @@
 #include <cxxopts.hpp>
 #include <iostream>
 #include <sstream>
+#include <string_view>
+#include <unistd.h>
 
 namespace {
 
+constexpr std::string_view variable_prefix = "CUMINWINCH_";
+
 std::string variable_name(const std::string& setting) {
-    std::string name = "CUMINWINCH_" + setting;
+    std::string name = std::string{variable_prefix} + setting;
     std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
         return letter == '-' ? '_'
                              : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
@@ -181,8 +185,7 @@
     return {};
 }
 
-cw_result<void> cw_settings::read(int argc, const char* const* argv) {
-    cxxopts::Options options{program_, purpose_};
+void cw_settings::declare(cxxopts::Options& options) const {
     auto adder = options.add_options();
     for (const auto& setting : definitions_) {
         const auto text = setting->help + " [" + variable_name(setting->name) + "]" +
@@ -201,60 +204,90 @@
         options.parse_positional({"words"});
         options.positional_help(words_help_);
     }
+}
+
+cw_result<void> cw_settings::take(const definition& setting, const cxxopts::ParseResult& given) {
+    const auto& name = setting.name;
+    const char* variable = std::getenv(variable_name(name).c_str());
+    if (given.count(name) > 1) {
+        return mistake(name, "is given more than once; give it once");
+    }
+    if (given.count(name) == 1) {
+        values_[name] =
+            setting.type == definition::kind::flag ? "true" : given[name].as<std::string>();
+    } else if (variable != nullptr) {
+        values_[name] = variable;
+    } else if (setting.fallback) {
+        values_[name] = *setting.fallback;
+    } else {
+        return mistake(name, "is missing; it has no default");
+    }
+    return check(setting, values_[name]);
+}
+
+std::vector<std::string> cw_settings::unknown_variables() const {
+    std::vector<std::string> names;
+    for (char** entry = environ; *entry != nullptr; ++entry) {
+        const std::string_view text{*entry};
+        const auto name = text.substr(0, text.find('='));
+        const bool is_known =
+            std::any_of(definitions_.begin(), definitions_.end(),
+                        [&](const auto& setting) { return variable_name(setting->name) == name; });
+        if (name.starts_with(variable_prefix) && !is_known) {
+            names.emplace_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<cw_error> cw_settings::read(int argc, const char* const* argv) {
+    cxxopts::Options options{program_, purpose_};
+    declare(options);
     help_ = options.help();
+    std::vector<cw_error> mistakes;
     try {
-        const auto parsed = options.parse(argc, argv);
+        const auto given = options.parse(argc, argv);
         for (const auto* name : {"help", "version", "check"}) {
-            if (parsed.count(name) != 0) {
+            if (given.count(name) != 0) {
                 values_[name] = "true";
             }
         }
-        if (takes_words_ && parsed.count("words") != 0) {
-            words_ = parsed["words"].as<std::vector<std::string>>();
-        } else if (!parsed.unmatched().empty()) {
-            return tl::unexpected(cw_error{
-                "settings", "", "unknown word \"" + parsed.unmatched().front() + "\"; see --help"});
-        }
         if (values_.contains("help") || values_.contains("version")) {
             return {};
         }
-        for (const auto& setting : definitions_) {
-            const auto& name = setting->name;
-            const char* variable = std::getenv(variable_name(name).c_str());
-            if (parsed.count(name) > 1) {
-                return mistake(name, "is given more than once; give it once");
-            }
-            if (parsed.count(name) == 1) {
-                values_[name] = setting->type == definition::kind::flag
-                                    ? "true"
-                                    : parsed[name].as<std::string>();
-            } else if (variable != nullptr) {
-                values_[name] = variable;
-            } else if (setting->fallback) {
-                values_[name] = *setting->fallback;
-            } else {
-                return mistake(name, "is missing; it has no default");
-            }
-            if (auto checked = check(*setting, values_[name]); !checked) {
-                return checked;
-            }
+        if (takes_words_ && given.count("words") != 0) {
+            words_ = given["words"].as<std::vector<std::string>>();
+        }
+        for (const auto& word : takes_words_ ? std::vector<std::string>{} : given.unmatched()) {
+            mistakes.push_back({"settings", "", "unknown word \"" + word + "\"; see --help"});
         }
-        for (const auto& rule : rules_) {
-            if (const auto reason = rule(*this)) {
-                return tl::unexpected(cw_error{"settings", "", *reason});
+        for (const auto& setting : definitions_) {
+            if (auto taken = take(*setting, given); !taken) {
+                mistakes.push_back(std::move(taken.error()));
             }
         }
     } catch (const cxxopts::exceptions::exception& failure) {
-        return tl::unexpected(
-            cw_error{"settings", "", std::string{failure.what()} + "; see --help"});
+        mistakes.push_back({"settings", "", std::string{failure.what()} + "; see --help"});
     }
-    return {};
+    // Rules read values, so they need all of them whole.
+    for (const auto& rule : mistakes.empty() ? rules_ : decltype(rules_){}) {
+        if (const auto reason = rule(*this)) {
+            mistakes.push_back({"settings", "", *reason});
+        }
+    }
+    return mistakes;
 }
 
 std::optional<int> cw_settings::parse(int argc, const char* const* argv) {
-    const auto done = read(argc, argv);
-    if (!done) {
-        std::cerr << program_ << ": " << done.error().text() << '\n';
+    for (const auto& name : unknown_variables()) {
+        std::cerr << program_ << ": settings: the variable " << name
+                  << " is none of this program's; see --help\n";
+    }
+    const auto mistakes = read(argc, argv);
+    for (const auto& error : mistakes) {
+        std::cerr << program_ << ": " << error.text() << '\n';
+    }
+    if (!mistakes.empty()) {
         return cw_exit_usage;
     }
     if (values_.contains("help")) {
--- a/Source/cw_settings.h
+++ b/Source/cw_settings.h
@@ -11,10 +11,17 @@
 #include <string>
 #include <vector>
 
+namespace cxxopts {
+class Options;
+class ParseResult;
+} // namespace cxxopts
+
 /// Settings of one program: flags, and an environment variable for each flag. A flag goes before
 /// its variable.
 ///
-/// Every mistake ends in one line that names the setting, its value and what is allowed.
+/// Every mistake ends in one line that names the setting, its value and what is allowed; all are
+/// shown at once. A variable that looks like a setting and is none is named, but ends nothing,
+/// since several programs may share an environment.
 class cw_settings {
 public:
     /// `program` names the binary; `purpose` is the first line of its help.
@@ -56,7 +63,15 @@
     struct definition;
 
     void add(const std::string& name, definition added);
-    [[nodiscard]] cw_result<void> read(int argc, const char* const* argv);
+    /// Adds the settings to the parser of flags.
+    void declare(cxxopts::Options& options) const;
+    /// Reads all settings; returns every mistake.
+    [[nodiscard]] std::vector<cw_error> read(int argc, const char* const* argv);
+    /// Takes one setting from its flag, its variable or its default.
+    [[nodiscard]] cw_result<void> take(const definition& setting,
+                                       const cxxopts::ParseResult& given);
+    /// Variables of the product's form that are no setting of this program.
+    [[nodiscard]] std::vector<std::string> unknown_variables() const;
     [[nodiscard]] cw_result<void> check(const definition& setting, const std::string& value) const;
 
     std::string program_;
--- a/Tests/Settings/cw_settings_test.cpp
+++ b/Tests/Settings/cw_settings_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cstdlib>
 #include <doctest/doctest.h>
+#include <iostream>
+#include <sstream>
+#include <string>
 
 namespace {
 
@@ -28,6 +31,22 @@
     cw_settings settings{"program", "A program"};
 };
 
+/// What is written to the standard error stream while it lives.
+class captured_errors {
+public:
+    captured_errors()
+        : former_{std::cerr.rdbuf(stream_.rdbuf())} {}
+    ~captured_errors() { std::cerr.rdbuf(former_); }
+    captured_errors(const captured_errors&) = delete;
+    captured_errors& operator=(const captured_errors&) = delete;
+
+    std::string text() const { return stream_.str(); }
+
+private:
+    std::ostringstream stream_;
+    std::streambuf* former_;
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(declared_settings, "flag_given_goes_before_variable") {
@@ -61,6 +80,22 @@
     CHECK(parse({"--host", "h", "--targets", ","}) == cw_exit_usage);
 }
 
+TEST_CASE_FIXTURE(declared_settings, "mistakes_are_all_shown_at_once") {
+    const captured_errors errors;
+    CHECK(parse({"--threads", "9", "--level", "middle", "--listen", "nowhere"}) == cw_exit_usage);
+    for (const char* name : {"--host", "--threads", "--level", "--listen"}) {
+        CHECK_MESSAGE(errors.text().find(name) != std::string::npos, name);
+    }
+}
+
+TEST_CASE_FIXTURE(declared_settings, "variable_unknown_is_named_and_ends_nothing") {
+    const captured_errors errors;
+    setenv("CUMINWINCH_THREDS", "4", 1);
+    CHECK_FALSE(parse({"--host", "h"}));
+    unsetenv("CUMINWINCH_THREDS");
+    CHECK(errors.text().find("CUMINWINCH_THREDS") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(declared_settings, "variable_malformed_ends_with_usage_code") {
     setenv("CUMINWINCH_THREADS", "many", 1);
     CHECK(parse({"--host", "h"}) == cw_exit_usage);
