Give the planning of keys a class of its own

When keys are planned and by which loads is decided by cw_key_balance now; the steward keeps who may grant and what is in force.

--- /dev/null
+++ b/Source/cw_key_balance.cpp
@@ -0,0 +1,74 @@
+#include "cw_key_balance.h"
+
+#include <algorithm>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Half-life of the loads by which keys are balanced.
+constexpr auto load_half_life = 2'000ms;
+/// Ranges for each owner above which neighbours are joined.
+constexpr std::size_t most_ranges = 3;
+
+/// True when a range's owner is none of the candidates.
+bool needs_owner(const cw_key_table& table, const std::vector<cw_key_candidate>& candidates) {
+    return std::any_of(table.ranges.begin(), table.ranges.end(), [&](const auto& range) {
+        return std::none_of(candidates.begin(), candidates.end(),
+                            [&](const auto& candidate) { return candidate.owner == range.owner; });
+    });
+}
+
+/// True when a warm candidate owns nothing.
+bool has_newcomer(const cw_key_table& table, const std::vector<cw_key_candidate>& candidates) {
+    return std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
+        return candidate.warm &&
+               std::none_of(table.ranges.begin(), table.ranges.end(),
+                            [&](const auto& range) { return range.owner == candidate.owner; });
+    });
+}
+
+} // namespace
+
+cw_key_balance::cw_key_balance(const cw_steward_options& options)
+    : options_{options},
+      load_{load_half_life} {}
+
+void cw_key_balance::on_load(const std::vector<cw_key_count>& counts, cw_boot_time now) {
+    load_.on_report(counts, now);
+}
+
+void cw_key_balance::begin(cw_boot_time now) {
+    next_balance_ = now + options_.balance;
+}
+
+bool cw_key_balance::is_resting(const std::string& id, cw_boot_time now) const {
+    const auto resting = resting_until_.find(id);
+    return resting != resting_until_.end() && now < resting->second;
+}
+
+std::vector<cw_key_move> cw_key_balance::plan(cw_key_table& table,
+                                              const std::vector<cw_key_candidate>& candidates,
+                                              cw_boot_time now) {
+    const bool balances = now >= next_balance_;
+    auto options = options_.plan;
+    if (balances) {
+        next_balance_ = now + options_.balance;
+    } else {
+        options.most_moves = 0;
+    }
+    if (balances && table.ranges.size() > most_ranges * candidates.size()) {
+        table.join();
+    }
+    const bool is_busy = load_.total(now) >= options.least_rate;
+    if (!needs_owner(table, candidates) && !has_newcomer(table, candidates) &&
+        !(balances && is_busy)) {
+        return {};
+    }
+    auto moves = cw_plan_key_moves(table, candidates, load_.sums(now), load_.total(now), options);
+    for (const auto& move : moves) {
+        resting_until_[move.to.id] = now + options_.rest;
+        resting_until_[table.range_of(move.first).owner.id] = now + options_.rest;
+    }
+    return moves;
+}
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -7,14 +7,10 @@
 
 using namespace std::chrono_literals;
 
-/// Half-life of the loads by which keys are balanced.
-constexpr auto load_half_life = 2'000ms;
 /// Age of the last confirmation from which the steward asks the store again.
 constexpr auto confirm_interval = 1'500ms;
 /// Time for which settled moves may be missing from the store's copy.
 constexpr auto save_delay = 1'000ms;
-/// Ranges for each owner above which neighbours are joined.
-constexpr std::size_t most_ranges = 3;
 /// Below every fence that moves keys, so that a probe which arrives late takes nothing away.
 constexpr std::uint64_t lowest_fence = 1;
 /// Fences that are skipped when an owner has seen a higher one.
@@ -34,7 +30,7 @@
       suspicion_{options_, seed},
       orders_{options_},
       predecessors_{options_, self_.host},
-      load_{load_half_life} {}
+      balance_{options_} {}
 
 bool cw_steward::is_steward() const {
     return table_.steward == self_;
@@ -81,7 +77,7 @@
 }
 
 void cw_steward::on_load(const std::vector<cw_key_count>& counts, cw_boot_time now) {
-    load_.on_report(counts, now);
+    balance_.on_load(counts, now);
 }
 
 void cw_steward::on_copy(const cw_key_table& table, cw_boot_time now) {
@@ -195,7 +191,7 @@
     if (is_steward() && !was_steward) {
         const auto wait = predecessors_.begin(table_.predecessors, options_, now);
         orders_.forget_upstreams();
-        next_balance_ = now + options_.balance;
+        balance_.begin(now);
         note("steward takes over", self_.host,
              "term " + std::to_string(table_.term) + ", earlier grants end within " +
                  std::to_string(wait.count()) + " ms");
@@ -485,26 +481,22 @@
         if (entry.leaving || has_ended(owner) || (trust_silence && orders_.is_silent(id, now))) {
             continue;
         }
-        const auto resting = resting_until_.find(id);
         list.push_back({owner, static_cast<double>(entry.slots), now >= entry.warm_at,
-                        resting != resting_until_.end() && now < resting->second});
+                        balance_.is_resting(id, now)});
     }
     return list;
 }
 
-bool cw_steward::needs_owner(const std::vector<cw_key_candidate>& list) const {
-    return std::any_of(table_.ranges.begin(), table_.ranges.end(), [&](const auto& range) {
-        return std::none_of(list.begin(), list.end(),
-                            [&](const auto& candidate) { return candidate.owner == range.owner; });
-    });
-}
-
-bool cw_steward::has_newcomer(const std::vector<cw_key_candidate>& list) const {
-    return std::any_of(list.begin(), list.end(), [&](const auto& candidate) {
-        return candidate.warm &&
-               std::none_of(table_.ranges.begin(), table_.ranges.end(),
-                            [&](const auto& range) { return range.owner == candidate.owner; });
-    });
+void cw_steward::raise_fence(cw_key_table& table) {
+    for (std::size_t place = 0; place < states_.size(); ++place) {
+        if (states_[place].fenced) {
+            table.last_fence += fence_skip;
+            table.ranges[place].fence = ++table.last_fence;
+            note("owner has seen a higher fence", table.ranges[place].owner.id,
+                 "goes on with " + std::to_string(table.ranges[place].fence));
+            return;
+        }
+    }
 }
 
 void cw_steward::plan(cw_boot_time now, commands& out) {
@@ -516,42 +508,17 @@
     if (list.empty()) {
         return;
     }
-    const bool balance = now >= next_balance_;
-    auto options = options_.plan;
-    if (balance) {
-        next_balance_ = now + options_.balance;
-    } else {
-        options.most_moves = 0;
-    }
-    auto copy = table_;
-    if (balance && copy.ranges.size() > most_ranges * list.size()) {
-        copy.join();
-    }
-    bool changed = copy.ranges != table_.ranges;
-    for (std::size_t place = 0; place < states_.size() && !changed; ++place) {
-        if (states_[place].fenced) {
-            copy.last_fence += fence_skip;
-            copy.ranges[place].fence = ++copy.last_fence;
-            note("owner has seen a higher fence", copy.ranges[place].owner.id,
-                 "goes on with " + std::to_string(copy.ranges[place].fence));
-            changed = true;
-        }
-    }
-    std::vector<cw_key_move> moves;
-    const bool is_busy = load_.total(now) >= options.least_rate;
-    if (needs_owner(list) || has_newcomer(list) || (balance && is_busy)) {
-        moves = cw_plan_key_moves(copy, list, load_.sums(now), load_.total(now), options);
-    }
+    auto next = table_;
+    raise_fence(next);
+    const auto moves = balance_.plan(next, list, now);
     for (const auto& move : moves) {
         note("keys move", move.to.id,
-             span_of(move.first, move.last) + " from " + copy.range_of(move.first).owner.id);
-        resting_until_[move.to.id] = now + options_.rest;
-        resting_until_[copy.range_of(move.first).owner.id] = now + options_.rest;
+             span_of(move.first, move.last) + " from " + next.range_of(move.first).owner.id);
     }
-    copy.apply(moves);
+    next.apply(moves);
     const bool save = unsaved_since_ != cw_boot_time{} && now > unsaved_since_ + save_delay;
-    if (changed || !moves.empty() || save) {
-        write(std::move(copy), out);
+    if (next.ranges != table_.ranges || save) {
+        write(std::move(next), out);
     }
 }
 
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cw_key_load.h"
+#include "cw_key_balance.h"
 #include "cw_order_book.h"
 #include "cw_predecessors.h"
 #include "cw_steward_command.h"
@@ -108,10 +108,8 @@
     void check_predecessors(cw_boot_time now);
     [[nodiscard]] bool has_ended(const cw_key_owner& owner) const;
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
-    /// True when a range's owner is none of the candidates.
-    [[nodiscard]] bool needs_owner(const std::vector<cw_key_candidate>& list) const;
-    /// True when a warm candidate owns nothing.
-    [[nodiscard]] bool has_newcomer(const std::vector<cw_key_candidate>& list) const;
+    /// Gives a range whose owner has seen a higher fence one above that.
+    void raise_fence(cw_key_table& table);
     void note(std::string what, std::string subject, std::string detail);
 
     std::string service_;
@@ -146,8 +144,6 @@
     cw_boot_time next_beat_{};
     std::uint64_t beat_ = 0;
 
-    cw_key_load load_;
-    cw_boot_time next_balance_{};
-    std::map<std::string, cw_boot_time> resting_until_;
+    cw_key_balance balance_;
     std::vector<cw_timeline_event> events_;
 };
