Look for a probe's key only for upstreams that are silent

Found on reading the change again: probe_silent compared every upstream with every range before it asked whether the upstream is silent at all, at each tick and each order that ended: 3 million comparisons at 1,001 upstreams with three ranges each (reckoned, not measured). The cheap question comes first now; what is sent stays the same.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -297,6 +297,9 @@
 
 void cw_steward::probe_silent(cw_boot_time now, commands& out) {
     for (const auto& [id, entry] : upstreams_) {
+        if (!orders_.is_silent(id, now)) {
+            continue;
+        }
         const cw_key_owner upstream{id, entry.life, entry.address};
         const auto other =
             std::find_if(table_.ranges.begin(), table_.ranges.end(),
