Pause keyed requests after a crash, and count a reset probe as a death

Cause, two faults: - Each loss of an owner takes 0.6 s. The request that crashes owners was sent again every 250 ms, so it could reach the new owner before any other request of the key: three losses in a row (2,103 = 3 x 0.65 s and a gap). A trace of the probes beside twelve busy processes showed 4 resets in 8 runs, and the 4 runs with a reset were the 4 with a fourth dead upstream. The listening socket of a process that is ending resets connections that it has not taken.

Ruled out: lost marks between keepers (each mark reached all four hosts within 3 ms), and load as such (4 of 4 runs of the old test held beside eight busy processes).

Change: a request that belongs to a key pauses 850 ms after each crash; a reset counts as a death. A pause of 1,000 ms was tried first: requests that merely ran beside the crash were then away for 1,065 ms, so 850 ms.

Test: the script sends 240 tries, one every 20 ms, instead of 36, and asks each key every 20 ms instead of every 60, so that the time of the key is measured and not that of its next caller; cases for the probe (the reset one failed before) and the pause.

--- a/Source/cw_crash_guard.cpp
+++ b/Source/cw_crash_guard.cpp
@@ -5,6 +5,11 @@
     return ledger_.refused_until(fingerprint);
 }
 
+cw_time_point cw_crash_guard::keyed_refused_until(std::uint64_t fingerprint) const {
+    const std::scoped_lock lock{mutex_};
+    return ledger_.keyed_refused_until(fingerprint);
+}
+
 void cw_crash_guard::on_crash(std::uint64_t fingerprint, const std::string& address,
                               cw_time_point now) {
     {
--- a/Source/cw_crash_guard.h
+++ b/Source/cw_crash_guard.h
@@ -27,6 +27,8 @@
     [[nodiscard]] bool has_marks() const { return marked_.load(std::memory_order_relaxed); }
     /// End of the time in which the request is refused; a past time when it may run.
     [[nodiscard]] cw_time_point refused_until(std::uint64_t fingerprint) const;
+    /// The same for a request that belongs to a key, which also pauses after its first crashes.
+    [[nodiscard]] cw_time_point keyed_refused_until(std::uint64_t fingerprint) const;
     void on_crash(std::uint64_t fingerprint, const std::string& address, cw_time_point now);
     void on_answer(std::uint64_t fingerprint);
     /// Takes over the numbers of crashes that the keeper stated.
--- a/Source/cw_crash_ledger.cpp
+++ b/Source/cw_crash_ledger.cpp
@@ -63,6 +63,15 @@
     return found == entries_.end() ? cw_time_point{} : found->second.blocked_until;
 }
 
+cw_time_point cw_crash_ledger::keyed_refused_until(std::uint64_t fingerprint) const {
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end()) {
+        return {};
+    }
+    return std::max<cw_time_point>(found->second.blocked_until,
+                                   found->second.last + options_.owner_pause);
+}
+
 std::uint32_t cw_crash_ledger::crashes(std::uint64_t fingerprint) const {
     const auto found = entries_.find(fingerprint);
     return found == entries_.end() ? 0 : found->second.crashes;
--- a/Source/cw_crash_ledger.h
+++ b/Source/cw_crash_ledger.h
@@ -18,6 +18,11 @@
     std::chrono::milliseconds most_block{900'000};
     /// Time without a further crash after which a request is forgotten.
     std::chrono::milliseconds memory{1'800'000};
+    /// Time after a crash in which a request that belongs to a key is not run again. Without it the
+    /// next owner is lost as soon as it is found, before other callers of its keys have a turn. The
+    /// time is longer than the loss of an owner takes, and short enough that a request which merely
+    /// ran beside the crash is served again within a second.
+    std::chrono::milliseconds owner_pause{850};
     /// Crashes at one address within this time are one crash that several routers saw.
     std::chrono::milliseconds same_crash{400};
 };
@@ -40,6 +45,8 @@
     void raise(std::uint64_t fingerprint, std::uint32_t crashes, cw_time_point now);
     /// End of the time in which the request is refused; a past time when it is not.
     [[nodiscard]] cw_time_point refused_until(std::uint64_t fingerprint) const;
+    /// The same for a request that belongs to a key, which also pauses after its first crashes.
+    [[nodiscard]] cw_time_point keyed_refused_until(std::uint64_t fingerprint) const;
     [[nodiscard]] std::uint32_t crashes(std::uint64_t fingerprint) const;
     /// Marked requests with the number of their crashes.
     [[nodiscard]] std::map<std::uint64_t, std::uint32_t> all() const;
--- a/Source/cw_death_probe.cpp
+++ b/Source/cw_death_probe.cpp
@@ -24,7 +24,9 @@
     boost::system::error_code failure;
     co_await probe.async_connect(endpoint->tcp(), cw_into(failure));
     if (failure) {
-        co_return failure == net::error::connection_refused;
+        // The listening socket of a process that is ending resets the connections it has not taken.
+        co_return failure == net::error::connection_refused ||
+            failure == net::error::connection_reset;
     }
     // A process that is ending closes its connections one after the other; its listening socket may
     // be the last and still take the probe, which is then reset.
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -248,11 +248,15 @@
         if (!crashes.has_marks()) {
             return false;
         }
-        const auto until = crashes.refused_until(fingerprint_of(current));
+        const auto fingerprint = fingerprint_of(current);
+        const auto service = current.config->services().find(current.service);
+        const bool is_keyed = service != current.config->services().end() && service->second.keyed;
+        const auto until = is_keyed ? crashes.keyed_refused_until(fingerprint)
+                                    : crashes.refused_until(fingerprint);
         if (now() >= until) {
             return false;
         }
-        current.reason = "this request has crashed every upstream that ran it";
+        current.reason = "this request crashed each upstream that ran it";
         current.come_back = std::chrono::ceil<milliseconds>(until - now());
         return true;
     }
--- a/Source/cw_proxy_session.cpp
+++ b/Source/cw_proxy_session.cpp
@@ -240,14 +240,18 @@
 }
 
 bool cw_proxy_session::is_refused_for_crashes(cw_proxy_exchange& current) const {
-    if (!traffic_.shared.crashes().has_marks()) {
+    const auto& crashes = traffic_.shared.crashes();
+    if (!crashes.has_marks()) {
         return false;
     }
-    const auto until = traffic_.shared.crashes().refused_until(fingerprint_of(current.request));
+    const auto fingerprint = fingerprint_of(current.request);
+    const bool is_keyed = current.route.slice != nullptr;
+    const auto until =
+        is_keyed ? crashes.keyed_refused_until(fingerprint) : crashes.refused_until(fingerprint);
     if (now() >= until) {
         return false;
     }
-    current.reason = "this request has crashed every upstream that ran it";
+    current.reason = "this request crashed each upstream that ran it";
     current.come_back = std::chrono::ceil<std::chrono::milliseconds>(until - now());
     return true;
 }
--- a/Tests/Routing/crash.sh
+++ b/Tests/Routing/crash.sh
@@ -34,19 +34,20 @@
     for i in 1 2; do estate_entry_host "entry-$domain-$i" "$domain"; done
 done
 estate_ready gallery || exit 1
-"$ESTATE_BIN/cuminwinch-load" --targets "$(estate_routers)" --platform "$PLATFORM" --prefix /gallery/ --rate 400 \
+# Each key is asked for every 20 ms, so what is measured is the time of the key and not of its next caller.
+"$ESTATE_BIN/cuminwinch-load" --targets "$(estate_routers)" --platform "$PLATFORM" --prefix /gallery/ --rate 1200 \
     --seconds 12 --keys 24 --zipf-percent 0 >"$work/load" &
 load=$!
 sleep 1
-for try in $(seq 36); do
+for try in $(seq 240); do
     send /gallery/k1/poison "${ESTATE_ROUTERS[$((try % 4))]}" >>"$work/answers"
-    sleep 0.25
+    sleep 0.02
 done
 wait "$load"
 check "the load of the other callers found no wrong outcome" [ $? -eq 0 ]
 field() { estate_field "$work/load" "$1"; }
 sort "$work/answers" | uniq -c
-check "at most 3 galleries died in 36 tries through 4 routers ($(dead gallery))" [ "$(dead gallery)" -le 3 ]
+check "at most 3 galleries died in 240 tries through 4 routers ($(dead gallery))" [ "$(dead gallery)" -le 3 ]
 check "the request was then refused as not run" [ "$(tail -1 "$work/answers")" = "503 did-not-run" ]
 check "and told when to come back" grep -qi '^retry-after' "$work/head"
 check "other requests for its key are answered" [ "$(send /gallery/k1/x "${ESTATE_ROUTERS[0]}")" = "200 answered" ]
--- a/Tests/Routing/cw_crash_ledger_test.cpp
+++ b/Tests/Routing/cw_crash_ledger_test.cpp
@@ -17,6 +17,7 @@
         now += 1s;
     }
     bool is_refused() const { return now < ledger.refused_until(poison); }
+    bool is_keyed_refused() const { return now < ledger.keyed_refused_until(poison); }
 
     cw_time_point now{std::chrono::hours{1}};
     cw_crash_ledger ledger{cw_crash_options{}};
@@ -36,6 +37,29 @@
     CHECK_FALSE(is_refused());
 }
 
+TEST_CASE_FIXTURE(used_ledger, "keyed_request_after_a_crash_lets_others_of_its_key_go_first") {
+    ledger.on_crash(poison, "a:1", now);
+    CHECK_FALSE(is_refused());
+    now += 849ms;
+    CHECK(is_keyed_refused());
+    now += 1ms;
+    CHECK_FALSE(is_keyed_refused());
+}
+
+TEST_CASE_FIXTURE(used_ledger, "keyed_request_after_three_crashes_is_refused_as_long_as_any") {
+    for (const auto* address : {"a:1", "b:1", "c:1"}) {
+        crash(address);
+    }
+    CHECK(ledger.keyed_refused_until(poison) == ledger.refused_until(poison));
+    CHECK(is_keyed_refused());
+}
+
+TEST_CASE_FIXTURE(used_ledger, "keyed_request_answered_after_a_crash_pauses_no_longer") {
+    ledger.on_crash(poison, "a:1", now);
+    ledger.on_answer(poison);
+    CHECK_FALSE(is_keyed_refused());
+}
+
 TEST_CASE_FIXTURE(used_ledger, "request_that_crashes_again_is_refused_for_longer") {
     for (const auto* address : {"a:1", "b:1", "c:1"}) {
         crash(address);
--- /dev/null
+++ b/Tests/Routing/cw_death_probe_test.cpp
@@ -0,0 +1,50 @@
+#include "cw_death_probe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <exception>
+#include <string>
+
+namespace net = boost::asio;
+
+namespace {
+
+/// An upstream's listening socket, and a probe of it that is played by hand.
+struct probed_upstream {
+    probed_upstream() { address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    void begin_probe() {
+        net::co_spawn(context, cw_is_dead(context, address),
+                      [this](std::exception_ptr, bool dead) { is_dead = dead; });
+        context.poll_one();
+    }
+
+    net::io_context context;
+    net::ip::tcp::acceptor acceptor{context, {net::ip::address_v4::loopback(), 0}};
+    std::string address;
+    bool is_dead = false;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(probed_upstream, "probe_of_upstream_that_listens_finds_it_alive") {
+    begin_probe();
+    context.run();
+    CHECK_FALSE(is_dead);
+}
+
+TEST_CASE_FIXTURE(probed_upstream, "probe_of_address_without_listener_finds_it_dead") {
+    acceptor.close();
+    begin_probe();
+    context.run();
+    CHECK(is_dead);
+}
+
+TEST_CASE_FIXTURE(probed_upstream, "probe_reset_by_an_ending_listener_finds_it_dead") {
+    begin_probe();
+    acceptor.close();
+    context.run();
+    CHECK(is_dead);
+}
