Move keys only for loads that chance does not explain

Change: an excess must also be three standard deviations of the count (the time counted over follows from the half-life of the loads).

Case plan_for_many_upstreams_with_few_requests_each_moves_nothing_by_chance failed before.

--- a/Source/cw_key_balance.cpp
+++ b/Source/cw_key_balance.cpp
@@ -32,7 +32,9 @@
 
 cw_key_balance::cw_key_balance(const cw_steward_options& options)
     : options_{options},
-      load_{load_half_life} {}
+      load_{load_half_life} {
+    options_.plan.counted = load_.counted();
+}
 
 void cw_key_balance::on_load(const std::vector<cw_key_count>& counts, cw_boot_time now) {
     load_.on_report(counts, now);
--- a/Source/cw_key_load.cpp
+++ b/Source/cw_key_load.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+std::chrono::milliseconds cw_key_load::counted() const {
+    // The variance of an exponentially fading count of a steady rate r is r * ln 2 / (2 *
+    // half-life).
+    return std::chrono::duration_cast<std::chrono::milliseconds>(half_life_ * 2.0 /
+                                                                 std::numbers::ln2);
+}
+
 double cw_key_load::total(cw_boot_time now) {
     fade(now);
     return total_;
--- a/Source/cw_key_load.h
+++ b/Source/cw_key_load.h
@@ -20,6 +20,8 @@
     explicit cw_key_load(std::chrono::milliseconds half_life);
 
     void on_report(const std::vector<cw_key_count>& counts, cw_boot_time now);
+    /// Time for which plain counting would make rates as exact as these are.
+    [[nodiscard]] std::chrono::milliseconds counted() const;
     /// Requests a second for all keys together.
     [[nodiscard]] double total(cw_boot_time now);
     /// Weights summed up to each key: the weight of [a, b] is sums[b + 1] - sums[a]. Each key has a
--- a/Source/cw_key_planner.cpp
+++ b/Source/cw_key_planner.cpp
@@ -92,6 +92,15 @@
         return capacity > 0.0 ? load / capacity : 0.0;
     }
 
+    /// True when the upstream has more than the mean, by more than the count may differ by chance.
+    [[nodiscard]] bool is_overloaded(const account& entry, double mean) const {
+        const double fair = mean * entry.candidate->capacity;
+        const double deviation =
+            std::sqrt(fair / std::chrono::duration<double>(options_.counted).count());
+        return entry.load >= fair * options_.most_excess &&
+               entry.load >= fair + deviation * options_.least_deviations;
+    }
+
     /// The last key of the longest stretch from `first` that weighs at most `want`.
     [[nodiscard]] std::uint32_t end_of_stretch(std::uint32_t first, std::uint32_t last,
                                                double want) const {
@@ -174,8 +183,7 @@
             }
         }
         const auto mean = mean_use();
-        if (high == nullptr || high == low || high->use() < mean * options_.most_excess ||
-            low->use() > mean) {
+        if (high == nullptr || high == low || !is_overloaded(*high, mean) || low->use() > mean) {
             return false;
         }
         const auto excess = (high->use() - mean * options_.aim) * high->candidate->capacity;
--- a/Source/cw_key_planner.h
+++ b/Source/cw_key_planner.h
@@ -3,6 +3,7 @@
 #include "cw_key_table.h"
 #include "cw_upstream_entry.h"
 
+#include <chrono>
 #include <vector>
 
 /// An upstream that may own keys.
@@ -20,6 +21,11 @@
 struct cw_key_plan_options {
     /// Load over the mean from which an upstream gives keys away.
     double most_excess = 1.4;
+    /// Load over the mean, in standard deviations of a counted mean, that is not put down to
+    /// chance.
+    double least_deviations = 3.0;
+    /// Time that the loads are counted over.
+    std::chrono::milliseconds counted{6'000};
     /// Load over the mean at which it stops giving.
     double aim = 1.1;
     /// Requests a second below which loads say nothing.
@@ -33,7 +39,9 @@
 /// Keys whose owner is no candidate always go to another. Beyond that, upstreams without keys get
 /// their share, and overloaded ones give up part of their busiest range. `sums` are the weights of
 /// cw_key_load; `rate` is the number of requests a second that they rest on. The load that it
-/// answers: popular keys that lie side by side and change within seconds.
+/// answers: popular keys that lie side by side and change within seconds. Where each upstream has
+/// only a few requests a second, chance alone gives some of them several times the mean; moving
+/// keys after that would only take them away from their callers.
 [[nodiscard]] std::vector<cw_key_move>
 cw_plan_key_moves(const cw_key_table& table, const std::vector<cw_key_candidate>& candidates,
                   const std::vector<double>& sums, double rate, const cw_key_plan_options& options);
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -137,6 +138,23 @@
     }
 }
 
+TEST_CASE("plan_for_many_upstreams_with_few_requests_each_moves_nothing_by_chance") {
+    std::vector<cw_key_candidate> candidates;
+    for (int i = 0; i < 140; ++i) {
+        candidates.push_back(candidate("u" + std::to_string(i)));
+    }
+    cw_key_table table;
+    table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}));
+    cw_key_load load{2s};
+    std::minstd_rand engine{1};
+    std::uniform_int_distribution<std::uint32_t> any_key{0, cw_last_key};
+    for (auto now = start; now < start + 20s; now += 8ms) {
+        load.on_report({{any_key(engine), 1}}, now);
+    }
+    const auto now = start + 20s;
+    CHECK(cw_plan_key_moves(table, candidates, load.sums(now), load.total(now), {}).empty());
+}
+
 TEST_CASE_FIXTURE(quartered, "plan_for_one_overwhelming_key_leaves_it_where_it_is") {
     cw_key_load load{2s};
     load.on_report({{500, 1'000}}, start);
