--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "cw_async.h"
-#include "cw_call_patience.h"
 #include "cw_gateway_messages.h"
 #include "cw_gateway_options.h"
 #include "cw_gateway_port.h"
@@ -107,8 +106,6 @@
     /// back, and until its deadline nothing is heard of upstreams that leave.
     static constexpr milliseconds watch_wait{1'500};
     static constexpr milliseconds watch_grace{1'500};
-    /// Time for the first call after one that failed.
-    static constexpr milliseconds least_patience{400};
     /// A cut watch looks like one without news, so none waits longer than this.
     static constexpr milliseconds config_wait{1'000};
     static constexpr milliseconds grant_timeout{120};
@@ -162,26 +159,25 @@
 
     nothing follow_config() {
         std::uint64_t revision = 0;
-        cw_call_patience patience{watch_grace, least_patience};
+        bool is_lost = false;
         while (true) {
             cw_result<cw_config_change> seen;
             if (revision == 0) {
-                seen = co_await store_.read_config(after(patience.time()));
+                seen = co_await store_.read_config(after(store_timeout));
             } else {
-                const auto wait = patience.is_disturbed() ? milliseconds{0} : config_wait;
-                seen = co_await store_.watch_config(revision, wait, after(wait + patience.time()));
+                seen = co_await store_.watch_config(revision, config_wait,
+                                                    after(config_wait + watch_grace));
             }
-            if (patience.is_disturbed() != !seen) {
-                log_.info(seen ? "The configuration is in reach again."
-                               : "The configuration is out of reach.",
+            if (is_lost != !seen) {
+                is_lost = !seen;
+                log_.info(is_lost ? "The configuration is out of reach."
+                                  : "The configuration is in reach again.",
                           {{"error", seen ? "" : seen.error().text()}});
             }
             if (!seen) {
-                patience.on_failure();
                 co_await pause_about(store_retry);
                 continue;
             }
-            patience.on_answer();
             revision = seen->is_history_gone ? 0 : seen->revision;
             if (seen->config != nullptr) {
                 deliver(cw_config_seen{seen->config});
@@ -191,24 +187,22 @@
 
     nothing follow_upstreams() {
         std::uint64_t revision = 0;
-        cw_call_patience patience{watch_grace, least_patience};
+        // The first watch after a failure does not wait, so that its silence shows soon.
+        auto wait = watch_wait;
         while (true) {
             const bool lists = revision == 0;
             cw_result<cw_upstream_change> seen;
             if (lists) {
                 seen = co_await store_.list_upstreams(store_timeout);
             } else {
-                const auto wait = patience.is_disturbed() ? milliseconds{0} : watch_wait;
-                seen =
-                    co_await store_.watch_upstreams(revision, wait, after(wait + patience.time()));
+                seen = co_await store_.watch_upstreams(revision, wait, after(wait + watch_grace));
             }
+            wait = seen ? watch_wait : milliseconds{0};
             if (!seen) {
-                patience.on_failure();
                 deliver(cw_store_disturbed{seen.error().text()});
                 co_await pause_about(store_retry);
                 continue;
             }
-            patience.on_answer();
             revision = seen->is_history_gone ? 0 : seen->revision;
             if (lists) {
                 deliver(cw_upstreams_listed{std::move(seen->written)});
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -1,4 +1,3 @@
-#include "cw_call_patience.h"
 #include "cw_gateway_settings.h"
 #include "cw_key_load.h"
 #include "cw_key_planner.h"
@@ -234,22 +233,6 @@
     CHECK(news.since(other).is_whole);
 }
 
-TEST_CASE("patience_after_a_failure_is_short_and_grows_with_each_further_one") {
-    cw_call_patience patience{1'500ms, 400ms};
-    CHECK(patience.time() == 1'500ms);
-    patience.on_failure();
-    CHECK(patience.time() == 400ms);
-    patience.on_failure();
-    CHECK(patience.time() == 800ms);
-    patience.on_failure();
-    patience.on_failure();
-    CHECK(patience.time() == 1'500ms);
-    CHECK(patience.is_disturbed());
-    patience.on_answer();
-    CHECK_FALSE(patience.is_disturbed());
-    CHECK(patience.time() == 1'500ms);
-}
-
 TEST_CASE("picker_prefers_the_own_domain_while_it_answers_in_good_time") {
     const std::vector<cw_upstream_entry> upstreams{entry("far", 1, "other"), entry("near", 1, "z")};
     std::map<std::string, cw_upstream_meter> meters;
