--- a/Source/cw_table_news.cpp
+++ b/Source/cw_table_news.cpp
@@ -16,6 +16,9 @@
 }
 
 const cw_table_news::words& cw_table_news::since(const cw_table_mark& known) {
+    if (texts_.size() >= most_texts && !texts_.contains(known)) {
+        texts_.clear();
+    }
     const auto [place, is_new] = texts_.try_emplace(known);
     if (is_new) {
         place->second = make(known);
--- a/Source/cw_table_news.h
+++ b/Source/cw_table_news.h
@@ -44,6 +44,8 @@
 
     /// Copies that are remembered; hosts that are answered at each change know one of the last.
     static constexpr std::size_t most_copies = 16;
+    /// Texts that are kept; whatever copies hosts may name, memory stays bounded.
+    static constexpr std::size_t most_texts = 64;
 
     struct copy {
         cw_table_mark mark;
