Send tables between hosts as objects, as hosts of earlier versions do

Found on reading the change again: the table and its changes had become text inside the answer. A host of an earlier version, met while hosts are replaced one by one, would not have read it, and its own answer would have ended the task that reports to the steward by an exception.

--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -368,12 +368,12 @@
     /// The table that the answer to a report tells of, to a host that knew the given one.
     static cw_result<cw_key_table> told_table(const nlohmann::json& answer, cw_key_table known) {
         if (answer.contains("table")) {
-            return cw_key_table::parse(answer["table"].template get<std::string>());
+            return cw_key_table::parse(answer["table"].dump());
         }
         if (!answer.contains("changes")) {
             return known;
         }
-        auto changes = cw_key_table::parse_changes(answer["changes"].template get<std::string>());
+        auto changes = cw_key_table::parse_changes(answer["changes"].dump());
         return changes ? known.with_changes(std::move(*changes)) : changes;
     }
 
@@ -463,7 +463,7 @@
         const auto& news = news_[report->service].since(
             {known.term, known.edition, cw_query_number(target, "digest", 0)});
         if (!news.text.empty()) {
-            answer[news.is_whole ? "table" : "changes"] = news.text;
+            answer[news.is_whole ? "table" : "changes"] = nlohmann::json::parse(news.text);
         }
         if (report->service == gathering_service_ && view_ != nullptr) {
             answer["crashes"] = view_->crashes;
