Follow loads that change, and even them sooner

The smoothed loads still hold a third of the old popularity 10 s after a change, and keys move by it. Change: a second's count that differs from the smoothed load by over three standard deviations weighs 0.5 and not 0.1; the planner acts from 0.6 of the allowed excess, not 0.8, so that the operator's bound holds while the excess is told from chance as before (three deviations). The script now sends 3,000 requests/s, so that chance adds half as much to a measured ratio; its bounds are unchanged.

--- a/Source/cw_balancer.cpp
+++ b/Source/cw_balancer.cpp
@@ -24,6 +24,8 @@
 constexpr auto router_silence = 5s;
 /// Weight of the latest second in the smoothed load; chance must not look like imbalance.
 constexpr double smoothing = 0.1;
+/// Weight of the latest second once it differs from the smoothed load by more than chance explains.
+constexpr double changed_smoothing = 0.5;
 /// Smoothed rates below this, in requests per second, are forgotten.
 constexpr double least_rate = 0.01;
 /// Hot keys in one report.
@@ -54,13 +56,23 @@
     return result;
 }
 
-/// Lets known rates fade and adds what was seen in the latest second.
+/// Weight of the latest second's count beside a smoothed rate.
+double weight_of(double latest, double rate) {
+    // A count of requests that come independently deviates by the square root of its mean; the one
+    // more request keeps a first request from counting as a change.
+    const auto chance = chance_deviations * std::sqrt(rate + 1.0);
+    return std::abs(latest - rate) > chance ? changed_smoothing : smoothing;
+}
+
+/// Moves the known rates, in requests per second, towards what was seen in the latest second.
 void smooth(cw_position_rates& known, const cw_position_rates& seen) {
-    for (auto& [position, rate] : known) {
-        rate *= 1.0 - smoothing;
-    }
     for (const auto& [position, rate] : seen) {
-        known[position] += smoothing * rate;
+        known.try_emplace(position, 0.0);
+    }
+    for (auto& [position, rate] : known) {
+        const auto found = seen.find(position);
+        const auto latest = found == seen.end() ? 0.0 : found->second;
+        rate += weight_of(latest, rate) * (latest - rate);
     }
     std::erase_if(known, [](const auto& entry) { return entry.second < least_rate; });
 }
--- a/Source/cw_planner.cpp
+++ b/Source/cw_planner.cpp
@@ -10,7 +10,7 @@
 
 /// Shares of the allowed excess over the mean: a plan is made above the first and aims below the
 /// second, so that chance in the measured rates neither hides an excess nor calls for another move.
-constexpr double trigger_share = 0.8;
+constexpr double trigger_share = 0.6;
 constexpr double goal_share = 0.4;
 /// Part of the mean by which cutting a slice must beat moving a whole one.
 constexpr double cut_gain = 0.03;
--- a/Tests/Estate/imbalance.sh
+++ b/Tests/Estate/imbalance.sh
@@ -14,7 +14,7 @@
 # load NAME SECONDS HOTTEST-KEY
 load() {
     "$ESTATE_BIN/cuminwinch-load" --targets "$(estate_routers)" --platform "$PLATFORM" --prefix /gallery/ \
-        --rate 1500 --seconds "$2" --keys 2000 --zipf-percent 90 --hottest-key "$3" >"$results/$1" ||
+        --rate 3000 --seconds "$2" --keys 2000 --zipf-percent 90 --hottest-key "$3" >"$results/$1" ||
         failed=1
 }
 
--- a/Tests/Ownership/cw_imbalance_test.cpp
+++ b/Tests/Ownership/cw_imbalance_test.cpp
@@ -68,6 +68,32 @@
     CHECK(bench.mixed_fences() == 0);
 }
 
+TEST_CASE("hot_keys_that_change_are_even_after_25_seconds") {
+    // The estate of Tests/Estate/imbalance.sh over seeds, which is measured for 12 s after 25 s.
+    constexpr int measured_seconds = 12;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        cw_ownership_bench bench{{.seed = seed,
+                                  .domains = 4,
+                                  .keepers = 1,
+                                  .upstreams = 3,
+                                  .slices_per_upstream = 4,
+                                  .churn_budget = 6,
+                                  .hold_down = 5s}};
+        const auto source = std::make_shared<cw_load_source>(2'000, 0.9, seed);
+        bench.run(3s);
+        bench.set_load(source, 1'500);
+        bench.run(37s);
+        source->shuffle();
+        bench.run(25s);
+        double sum = 0.0;
+        for (int second = 0; second < measured_seconds; ++second) {
+            bench.run(1s);
+            sum += bench.imbalance();
+        }
+        CHECK_MESSAGE(sum / measured_seconds <= wanted_imbalance, "seed " << seed);
+    }
+}
+
 TEST_CASE("key_hotter_than_the_mean_leaves_the_others_balanced") {
     cw_ownership_bench bench{{.upstreams = 5, .slices_per_upstream = 8, .churn_budget = 16}};
     const auto source = std::make_shared<cw_load_source>(5'000, 1.2, 5);
--- a/Tests/Ownership/cw_ownership_bench.h
+++ b/Tests/Ownership/cw_ownership_bench.h
@@ -26,6 +26,7 @@
         bool checks_fences = true;
         std::uint32_t slices_per_upstream = 4;
         std::uint32_t churn_budget = 4;
+        std::chrono::milliseconds hold_down{2'000};
         cw_cut_off_policy cut_off = cw_cut_off_policy::hold;
         double drop = 0.0;
         double repeat = 0.0;
