--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -131,7 +131,7 @@
     /// The file may also change without a signal.
     boost::asio::awaitable<void> follow_settings() {
         while (true) {
-            co_await pause(settings_interval);
+            co_await cw_pause(context_, settings_interval);
             if (file_.has_changed()) {
                 reload();
             }
@@ -156,21 +156,15 @@
                    {"tenure_ms", std::to_string(read->ownership.tenure.count())}});
     }
 
-    boost::asio::awaitable<void> pause(milliseconds length) {
-        boost::asio::steady_timer timer{context_, length};
-        boost::system::error_code failure;
-        co_await timer.async_wait(cw_into(failure));
-    }
-
     boost::asio::awaitable<void> stop_in_order() {
         const auto until = std::chrono::steady_clock::now() + options_.stop_grace - end_reserve;
         stopping_ = true;
         log_.info("Stopping.", {{"host", options_.host}});
         io_.deliver(cw_stop_asked{});
-        co_await pause(notice);
+        co_await cw_pause(context_, notice);
         boost::asio::post(traffic_.context(), [this] { stop_accepting(); });
         do {
-            co_await pause(stop_poll);
+            co_await cw_pause(context_, stop_poll);
         } while (std::chrono::steady_clock::now() < until && traffic_.open_requests != 0);
         context_.stop();
     }
--- a/Source/cw_keeper_io.cpp
+++ b/Source/cw_keeper_io.cpp
@@ -90,12 +90,6 @@
                    cw_keeper_event_ptr{std::make_shared<const cw_keeper_event>(std::move(event))});
 }
 
-net::awaitable<void> cw_keeper_io::pause(std::chrono::milliseconds length) {
-    net::steady_timer timer{context_, length};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
-}
-
 void cw_keeper_io::apply(const cw_keeper_output& output) {
     for (const auto& command : output.commands) {
         carry_out(command);
@@ -221,7 +215,7 @@
     while (!stopping_ && wanted_keys_.contains(key)) {
         const auto value = co_await store_.watch(key, known, watch_wait);
         if (!value) {
-            co_await pause(retry_pause);
+            co_await cw_pause(context_, retry_pause);
             continue;
         }
         if (value->version > known) {
@@ -238,7 +232,7 @@
     while (!stopping_ && wanted_keys_.contains(key)) {
         const auto value = co_await store_.watch(key, known, watch_wait);
         if (!value) {
-            co_await pause(retry_pause);
+            co_await cw_pause(context_, retry_pause);
             continue;
         }
         if (value->version <= known) {
@@ -253,7 +247,7 @@
         if (loaded) {
             known = value->version;
         } else {
-            co_await pause(retry_pause);
+            co_await cw_pause(context_, retry_pause);
         }
     }
     watched_.erase(key);
@@ -323,7 +317,7 @@
                 log_.error("Host list is unreadable.", {{"error", hosts.error().text()}});
             }
         }
-        co_await pause(host_poll);
+        co_await cw_pause(context_, host_poll);
     }
 }
 
--- a/Source/cw_keeper_io.h
+++ b/Source/cw_keeper_io.h
@@ -57,7 +57,6 @@
     boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
     boost::asio::awaitable<cw_http_response> serve_routes(std::string target);
     [[nodiscard]] cw_http_response serve_config(const cw_http_request& request) const;
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
     void report(const std::string& key, const cw_store_value& value, cw_time_point sent);
     void publish();
 
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -67,12 +67,6 @@
     log_.info("Stopped.", {{"requests_cut", std::to_string(shared_.open_requests.load())}});
 }
 
-net::awaitable<void> cw_router::pause(std::chrono::milliseconds length) {
-    net::steady_timer timer{context_, length};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
-}
-
 net::awaitable<void> cw_router::follow_keeper() {
     std::size_t chosen = 0;
     std::uint64_t run = 0;
@@ -98,7 +92,7 @@
             continue;
         }
         ++chosen;
-        co_await pause(retry_pause);
+        co_await cw_pause(context_, retry_pause);
     }
 }
 
@@ -119,7 +113,7 @@
     ready_ = false;
     shared_.timeline().add({"stopping", options_.host, "no longer ready"},
                            std::chrono::system_clock::now());
-    co_await pause(options_.notice);
+    co_await cw_pause(context_, options_.notice);
     shared_.set_stopping();
     for (auto& thread : threads_) {
         thread->stop_accepting();
@@ -132,7 +126,7 @@
         } else if (std::chrono::steady_clock::now() > quiet_since + quiet_time) {
             break;
         }
-        co_await pause(drain_poll);
+        co_await cw_pause(context_, drain_poll);
     }
     context_.stop();
 }
--- a/Source/cw_router.h
+++ b/Source/cw_router.h
@@ -29,7 +29,6 @@
     boost::asio::awaitable<void> follow_keeper();
     boost::asio::awaitable<void> stop_in_order();
     boost::asio::awaitable<cw_http_response> serve_admin(cw_http_request request);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
     [[nodiscard]] std::string metrics() const;
     /// Other keepers of the own domain, for when the one in use does not answer.
     void learn_keepers(const nlohmann::json& hosts);
--- a/Standins/cw_store_standin.cpp
+++ b/Standins/cw_store_standin.cpp
@@ -29,12 +29,6 @@
               [this](cw_http_request request) { return serve(std::move(request)); }},
       changed_{context} {}
 
-net::awaitable<void> cw_store_standin::wait(std::chrono::milliseconds length) {
-    net::steady_timer timer{context_, length};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
-}
-
 bool cw_store_standin::admit(rate& counter, std::uint64_t limit) {
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(
                             std::chrono::steady_clock::now().time_since_epoch())
@@ -57,7 +51,7 @@
         co_return stats();
     }
     if (!up_) {
-        co_await wait(200ms);
+        co_await cw_pause(context_, 200ms);
         co_return plain(http::status::service_unavailable, "outage");
     }
     if (target.starts_with("/hosts")) {
@@ -71,7 +65,7 @@
 
 net::awaitable<cw_http_response> cw_store_standin::serve_store(const cw_http_request& request) {
     if (delay_ > 0ms) {
-        co_await wait(delay_);
+        co_await cw_pause(context_, delay_);
     }
     const std::string target{request.target()};
     const std::string key{cw_path_of(target).substr(store_prefix.size())};
@@ -126,7 +120,7 @@
     held = {held.version + 1, std::move(request.body())};
     changed_.notify_all();
     if (std::uniform_real_distribution<double>{0.0, 1.0}(engine_) < lost_reply_share_) {
-        co_await wait(lost_reply_silence);
+        co_await cw_pause(context_, lost_reply_silence);
     }
     auto response = plain(http::status::ok, "written");
     response.set("X-Version", std::to_string(held.version));
--- a/Standins/cw_store_standin.h
+++ b/Standins/cw_store_standin.h
@@ -40,7 +40,6 @@
     cw_http_response serve_hosts(const cw_http_request& request);
     cw_http_response serve_control(const cw_http_request& request);
     cw_http_response stats() const;
-    boost::asio::awaitable<void> wait(std::chrono::milliseconds length);
     /// Counts a call; false when the rate of this second is used up.
     static bool admit(rate& counter, std::uint64_t limit);
 
--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -67,12 +67,6 @@
     return running_.empty() && holder_.slices().empty();
 }
 
-net::awaitable<void> cw_upstream_standin::wait(std::chrono::milliseconds length) {
-    net::steady_timer timer{context_, length};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
-}
-
 net::awaitable<cw_http_response> cw_upstream_standin::serve(cw_http_request request) {
     const auto path = cw_path_of({request.target().data(), request.target().size()});
     if (path == "/lease" && request.method() == http::verb::post) {
@@ -114,7 +108,7 @@
     const auto until = std::chrono::steady_clock::now() + longest_finish;
     while (options_.keyed && std::any_of(running_.begin(), running_.end(), is_foreign) &&
            std::chrono::steady_clock::now() < until) {
-        co_await wait(finish_poll);
+        co_await cw_pause(context_, finish_poll);
     }
     for (auto& entry : running_) {
         if (is_foreign(entry)) {
@@ -171,7 +165,7 @@
     }
     // The same order sent twice at once runs once, and both callers get its answer.
     while (!entry.idempotency_key.empty() && running_keys_.contains(entry.idempotency_key)) {
-        co_await wait(finish_poll);
+        co_await cw_pause(context_, finish_poll);
     }
     if (const auto known = answered_keys_.find(entry.idempotency_key);
         !entry.idempotency_key.empty() && known != answered_keys_.end()) {
@@ -188,7 +182,7 @@
         entry.start + std::chrono::milliseconds{number_of(request, cw_header_deadline_ms)};
     const auto number = ++next_run_;
     running_[number] = &entry;
-    co_await wait(work_time());
+    co_await cw_pause(context_, work_time());
     running_.erase(number);
     running_keys_.erase(entry.idempotency_key);
     entry.end = clock_reading();
--- a/Standins/cw_upstream_standin.h
+++ b/Standins/cw_upstream_standin.h
@@ -41,7 +41,6 @@
     boost::asio::awaitable<cw_http_response> serve_lease(const cw_http_request& request);
     boost::asio::awaitable<cw_http_response> serve_work(cw_http_request request);
     boost::asio::awaitable<void> finish_foreign_runs();
-    boost::asio::awaitable<void> wait(std::chrono::milliseconds length);
     [[nodiscard]] bool may_run(const cw_http_request& request, run& entry) const;
     [[nodiscard]] cw_http_response answer(const cw_http_request& request, const run& entry) const;
     [[nodiscard]] std::string journal() const;
--- a/Tests/Gateway/cw_platform_day.cpp
+++ b/Tests/Gateway/cw_platform_day.cpp
@@ -109,12 +109,6 @@
                     {"born", instance.born()}});
     }
 
-    net::awaitable<void> pause(std::chrono::milliseconds length) {
-        net::steady_timer timer{context_, length};
-        boost::system::error_code failure;
-        co_await timer.async_wait(cw_into(failure));
-    }
-
     net::awaitable<bool> is_ready(std::uint16_t port) {
         cw_http_request request{http::verb::get, "/readyz", 11};
         const auto answer = co_await http_.request("127.0.0.1:" + std::to_string(port + 1), request,
@@ -127,13 +121,13 @@
             bool ready = false;
             for (int tries = 0; tries < 100 && !ready; ++tries) {
                 ready = co_await is_ready(port);
-                co_await pause(50ms);
+                co_await cw_pause(context_, 50ms);
             }
             if (!ready) {
                 ++never_ready_;
             }
         }
-        co_await pause(3s);
+        co_await cw_pause(context_, 3s);
         held_at_.clear();
         longest_absence_ = 0ms;
         net::co_spawn(context_, disturb(), net::detached);
@@ -141,29 +135,29 @@
         std::uint64_t number = 0;
         while (std::chrono::steady_clock::now() < end) {
             net::co_spawn(context_, call(++number), net::detached);
-            co_await pause(5ms);
+            co_await cw_pause(context_, 5ms);
         }
-        co_await pause(3s);
+        co_await cw_pause(context_, 3s);
     }
 
     net::awaitable<void> disturb() {
-        co_await pause(1s);
+        co_await cw_pause(context_, 1s);
         if (trouble_ == "store-down") {
             store_.set_down(true);
-            co_await pause(3s);
+            co_await cw_pause(context_, 3s);
             store_.set_down(false);
         } else if (trouble_ == "crash") {
             instances_[1]->crash();
             store_.remove("servers", "i1");
-            co_await pause(3s);
+            co_await cw_pause(context_, 3s);
             instances_[1]->restart();
             announce(*instances_[1], "ready");
         } else if (trouble_ == "drain-after-outage") {
             store_.set_down(true);
-            co_await pause(3s);
+            co_await cw_pause(context_, 3s);
             store_.set_down(false);
             // By then every gateway must have found the store again.
-            co_await pause(3s);
+            co_await cw_pause(context_, 3s);
             announce(*instances_[2], "draining");
             drained_at_ = std::chrono::steady_clock::now();
         } else if (trouble_ == "drain") {
@@ -219,7 +213,7 @@
 
     net::awaitable<void> look() {
         while (true) {
-            co_await pause(look_interval);
+            co_await cw_pause(context_, look_interval);
             const auto now = std::chrono::steady_clock::now();
             for (std::uint32_t key = 0; key < 65'536; key += key_step) {
                 const auto holders =
--- a/Tests/Gateway/cw_platform_standin.cpp
+++ b/Tests/Gateway/cw_platform_standin.cpp
@@ -25,12 +25,6 @@
               [this](cw_http_request request) { return serve(std::move(request)); }},
       changed_{context} {}
 
-net::awaitable<void> cw_platform_standin::pause(std::chrono::milliseconds length) {
-    net::steady_timer timer{context_, length};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
-}
-
 void cw_platform_standin::record(const std::string& kind, json event) {
     history_.push_back({revision_, kind, std::move(event)});
     if (history_.size() > most_history) {
@@ -99,7 +93,7 @@
     const auto outages = outages_;
     while (true) {
         if (outages != outages_) {
-            co_await pause(silence);
+            co_await cw_pause(context_, silence);
         }
         if (from < forgotten_) {
             co_return cw_make_response(http::status::gone, "{}");
@@ -142,11 +136,11 @@
 net::awaitable<cw_http_response> cw_platform_standin::serve(cw_http_request request) {
     ++calls_;
     if (down_) {
-        co_await pause(silence);
+        co_await cw_pause(context_, silence);
         co_return cw_make_response(http::status::service_unavailable, "{}");
     }
     if (delay_ > 0ms) {
-        co_await pause(delay_);
+        co_await cw_pause(context_, delay_);
     }
     const std::string target{request.target().data(), request.target().size()};
     const auto path = cw_path_of(target);
@@ -157,7 +151,7 @@
     if (request.method() != http::verb::get) {
         auto answer = write(kind, name, request);
         if (std::uniform_real_distribution<>{}(engine_) < lost_answers_) {
-            co_await pause(silence);
+            co_await cw_pause(context_, silence);
         }
         co_return answer;
     }
--- a/Tests/Gateway/cw_platform_standin.h
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -51,7 +51,6 @@
                            const cw_http_request& request);
     nlohmann::json& store(const std::string& kind, const std::string& name, nlohmann::json spec);
     void record(const std::string& kind, nlohmann::json event);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds length);
 
     boost::asio::io_context& context_;
     cw_http_server server_;
