--- a/Tests/Routing/cw_routed_call.cpp
+++ b/Tests/Routing/cw_routed_call.cpp
@@ -15,7 +15,13 @@
 
 namespace {
 
-constexpr const char* router_address = "127.0.0.1:25911";
+/// An address that nothing listens at. The router shares its port among threads, so a fixed one
+/// would also be shared with the router of a test program that runs beside this one.
+cw_address free_address() {
+    net::io_context context;
+    const net::ip::tcp::acceptor probe{context, {net::ip::address_v4::loopback(), 0}};
+    return {net::ip::address_v4::loopback(), probe.local_endpoint().port()};
+}
 
 std::shared_ptr<const cw_route_view> view_for(const std::string& address) {
     const std::string text = R"([[firm]]
@@ -56,7 +62,7 @@
 cw_routed_call::cw_routed_call(cw_raw_upstream::script answer)
     : upstream_{std::make_unique<cw_raw_upstream>(std::move(answer))},
       shared_{"entry-1", "hakata", 1'000},
-      listen_{*cw_address::parse(router_address)} {
+      listen_{free_address()} {
     shared_.crashes().set_reporter([](std::uint64_t, const std::string&, bool) {});
     shared_.set_view(view_for(upstream_->address()));
     thread_ = std::make_unique<cw_traffic_thread>(shared_, listen_, true);
