--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -12,6 +12,7 @@
 namespace http = boost::beast::http;
 
 namespace {
+/// Bytes of an answer that are held; a list comes in pages of a quarter of it at most.
 constexpr std::uint64_t largest_body = 4'000'000;
 constexpr std::size_t most_idle = 4;
 
@@ -26,6 +27,11 @@
            error.reason == boost::system::error_code{net::error::connection_refused}.message();
 }
 
+bool cw_is_too_large(const cw_error& error) {
+    return error.step == "receive" &&
+           error.reason == http::make_error_code(http::error::body_limit).message();
+}
+
 std::unique_ptr<cw_http_client::stream>
 cw_http_client::idle_connection(const std::string& address) {
     auto& pool = idle_[address];
@@ -53,7 +59,7 @@
         }
         // An idle connection may have been closed by the peer; only a fresh one tells how it is.
         connection.reset();
-        if (std::chrono::steady_clock::now() >= deadline) {
+        if (cw_is_too_large(response.error()) || std::chrono::steady_clock::now() >= deadline) {
             co_return response;
         }
     }
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -16,6 +16,9 @@
 /// True when a call failed because nothing listens at the peer's address.
 [[nodiscard]] bool cw_is_refused(const cw_error& error);
 
+/// True when a call failed because the answer is larger than a control call's may be.
+[[nodiscard]] bool cw_is_too_large(const cw_error& error);
+
 /// A pooled HTTP/1.1 client for control calls, which are all safe to repeat. Used from one thread.
 ///
 /// A connection that saw a timeout or an error is closed, so a late answer meets no later request.
--- a/Tests/Gateway/cw_platform_standin.cpp
+++ b/Tests/Gateway/cw_platform_standin.cpp
@@ -14,7 +14,6 @@
 constexpr std::string_view objects_path = "/api/objects/";
 /// Objects on one page of a list.
 constexpr std::size_t page_size = 4;
-constexpr std::size_t most_history = 500;
 /// A call to a store that is down stays without an answer for so long.
 constexpr auto silence = 30s;
 } // namespace
@@ -27,7 +26,7 @@
 
 void cw_platform_standin::record(const std::string& kind, json event) {
     history_.push_back({revision_, kind, std::move(event)});
-    if (history_.size() > most_history) {
+    if (history_.size() > most_history_) {
         forgotten_ = history_.front().revision;
         history_.pop_front();
     }
--- a/Tests/Gateway/cw_platform_standin.h
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -33,6 +33,8 @@
     void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
     /// Share of the writes that are done and not answered.
     void set_lost_answers(double share) { lost_answers_ = share; }
+    /// Changes that are remembered for watches.
+    void set_history(std::size_t changes) { most_history_ = changes; }
     /// Forgets its history, so that every watch has to begin anew.
     void forget_history();
     [[nodiscard]] std::size_t calls() const { return calls_; }
@@ -56,6 +58,7 @@
     cw_http_server server_;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::deque<change> history_;
+    std::size_t most_history_ = 500;
     std::uint64_t forgotten_ = 0;
     std::uint64_t revision_ = 1;
     /// Told of each change and of each gap in the history.
--- a/Tests/Gateway/cw_platform_store_test.cpp
+++ b/Tests/Gateway/cw_platform_store_test.cpp
@@ -30,18 +30,35 @@
         context.restart();
         return listed;
     }
-};
 
-} // namespace
+    cw_result<cw_upstream_change> watch() {
+        cw_result<cw_upstream_change> seen;
+        boost::asio::co_spawn(context,
+                              store.watch_upstreams(1, 0ms, std::chrono::steady_clock::now() + 20s),
+                              [&](const std::exception_ptr&, cw_result<cw_upstream_change> result) {
+                                  seen = std::move(result);
+                                  context.stop();
+                              });
+        context.run_for(20s);
+        context.restart();
+        return seen;
+    }
 
-TEST_CASE_FIXTURE(store_with_client, "list_of_many_pages_may_take_longer_than_one_page") {
-    for (int i = 0; i < 25; ++i) {
-        standin.put("servers", "i-" + std::to_string(i),
+    void put_upstream(const std::string& id, const std::string& state) {
+        standin.put("servers", id,
                     {{"service", "a"},
                      {"address", "10.0.0.9:8080"},
                      {"zone", "z"},
                      {"slots", 3},
-                     {"state", "ready"}});
+                     {"state", state}});
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(store_with_client, "list_of_many_pages_may_take_longer_than_one_page") {
+    for (int i = 0; i < 25; ++i) {
+        put_upstream("i-" + std::to_string(i), "ready");
     }
     standin.set_delay(100ms);
     const auto listed = list(400ms);
@@ -50,3 +67,33 @@
     standin.set_delay(800ms);
     CHECK_FALSE(list(400ms));
 }
+
+TEST_CASE_FIXTURE(store_with_client, "watch_with_several_words_on_an_entry_takes_the_last") {
+    put_upstream("i-1", "ready");
+    put_upstream("i-2", "ready");
+    put_upstream("i-1", "draining");
+    standin.remove("servers", "i-2");
+    standin.remove("servers", "i-1");
+    put_upstream("i-1", "draining");
+    put_upstream("i-3", "odd");
+    const auto seen = watch();
+    REQUIRE(seen);
+    REQUIRE(seen->written.size() == 1);
+    CHECK(seen->written.front().id == "i-1");
+    CHECK(seen->written.front().leaving);
+    CHECK(seen->removed == std::vector<std::string>{"i-2", "i-3"});
+}
+
+TEST_CASE_FIXTURE(store_with_client, "watch_whose_answer_is_too_large_is_begun_anew_with_a_list") {
+    constexpr int changes = 25'000;
+    standin.set_history(changes);
+    for (int i = 0; i < changes; ++i) {
+        put_upstream("i-" + std::to_string(i % 10), "ready");
+    }
+    const auto seen = watch();
+    REQUIRE(seen);
+    CHECK(seen->is_history_gone);
+    const auto listed = list(1'000ms);
+    REQUIRE(listed);
+    CHECK(listed->written.size() == 10);
+}
