Run both calls of the store cases by one function, and drop what lost its use

Found on reading the whole change again: the store's test fixture started a list and a watch by the same lines, the instance stand-in still paused by a timer of its own beside cw_pause, and five files included the timer's header for code that had gone. Behaviour and assertions are as they were.

--- a/Source/cw_keeper_io.h
+++ b/Source/cw_keeper_io.h
@@ -14,7 +14,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <mutex>
--- a/Source/cw_router.cpp
+++ b/Source/cw_router.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/field.hpp>
 #include <caf/send.hpp>
 #include <csignal>
--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -6,7 +6,6 @@
 #include "cw_query.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
--- a/Tests/Gateway/cw_instance_standin.cpp
+++ b/Tests/Gateway/cw_instance_standin.cpp
@@ -136,9 +136,7 @@
     }
     ++running_;
     runs_.push_back({id, key, now()});
-    net::steady_timer timer{context_, work_};
-    boost::system::error_code failure;
-    co_await timer.async_wait(cw_into(failure));
+    co_await cw_pause(context_, work_);
     --running_;
     answer.set("X-Cuminwinch-Response-Signature", "signed");
     answer.set("X-Cuminwinch-Instance-Load",
--- a/Tests/Gateway/cw_instance_standin.h
+++ b/Tests/Gateway/cw_instance_standin.h
@@ -5,7 +5,6 @@
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <map>
--- a/Tests/Gateway/cw_platform_standin.h
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <deque>
--- a/Tests/Gateway/cw_platform_store_test.cpp
+++ b/Tests/Gateway/cw_platform_store_test.cpp
@@ -20,28 +20,11 @@
     store_with_client() { standin.start(); }
 
     cw_result<cw_upstream_change> list(std::chrono::milliseconds page_time) {
-        cw_result<cw_upstream_change> listed;
-        boost::asio::co_spawn(context, store.list_upstreams(page_time),
-                              [&](const std::exception_ptr&, cw_result<cw_upstream_change> result) {
-                                  listed = std::move(result);
-                                  context.stop();
-                              });
-        context.run_for(5s);
-        context.restart();
-        return listed;
+        return run(store.list_upstreams(page_time), 5s);
     }
 
     cw_result<cw_upstream_change> watch() {
-        cw_result<cw_upstream_change> seen;
-        boost::asio::co_spawn(context,
-                              store.watch_upstreams(1, 0ms, std::chrono::steady_clock::now() + 20s),
-                              [&](const std::exception_ptr&, cw_result<cw_upstream_change> result) {
-                                  seen = std::move(result);
-                                  context.stop();
-                              });
-        context.run_for(20s);
-        context.restart();
-        return seen;
+        return run(store.watch_upstreams(1, 0ms, std::chrono::steady_clock::now() + 20s), 20s);
     }
 
     void put_upstream(const std::string& id, const std::string& state) {
@@ -52,6 +35,22 @@
                      {"slots", 3},
                      {"state", state}});
     }
+
+private:
+    using change = cw_result<cw_upstream_change>;
+
+    /// The result of a call to the store that ends within the patience.
+    change run(boost::asio::awaitable<change> call, std::chrono::milliseconds patience) {
+        change seen;
+        boost::asio::co_spawn(context, std::move(call),
+                              [&](const std::exception_ptr&, change result) {
+                                  seen = std::move(result);
+                                  context.stop();
+                              });
+        context.run_for(patience);
+        context.restart();
+        return seen;
+    }
 };
 
 } // namespace
