Let one host of each failure domain read the store for the others

Weighed: a claim in the store for each reader (a write to claim, renewals, reads when it is silent: calls that grow with domains and nothing gained, since stewards know their hosts anyway); one reader for several domains (a cut domain loses its source); readers named by the steward that gathers reports (chosen): no call, no object, and a domain that is cut off keeps the order it was told.

Change: hosts report domain, address and strength; the steward names three readers a domain, strongest first. A host follows the first that is not suspected, over the port for hosts, by revisions of the store: news only, whole lists when a revision is forgotten, nothing older than known. The second reads the store at once when the first fails, hosts that are not named spread over 0.4 s. A reader tells the age of the store's last answer and whether the store is lost, so missing entries prove nothing to its followers either. The first configuration of a process still comes from the store itself. Beats carry the term, so a host that was not told of a successor finds it; hosts that are not named look at beats less often and claim later, weak machines let others go first.

Cost at 4,700 hosts in 17 domains: 17 readers, each answering 276 hosts four times a second.

--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -49,6 +49,8 @@
     /// Requests that crashed upstreams, with the number of crashes; nothing from a steward that
     /// does not gather them.
     std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
+    /// Addresses of this host's readers in their order; empty when none were named.
+    std::vector<std::string> readers;
 };
 /// A key table from a host that is not, or no longer, its steward.
 struct cw_table_copy {
--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -95,10 +95,13 @@
             }};
         });
         kernel_.add("io", io);
-        kernel_.add("control",
-                    cw_start_control_service(kernel_, cw_gateway_control{self_, options_.ownership,
-                                                                         options_.return_time,
-                                                                         self_.incarnation}));
+        kernel_.add("control", cw_start_control_service(
+                                   kernel_, cw_gateway_control{self_,
+                                                               {options_.domain, self_.address,
+                                                                options_.strength()},
+                                                               options_.ownership,
+                                                               options_.return_time,
+                                                               self_.incarnation}));
     }
 
     boost::asio::awaitable<void> accept() {
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -7,13 +7,17 @@
 using namespace std::chrono_literals;
 /// Silence after which a host no longer counts as one that shares the retry budget.
 constexpr auto member_silence = 2s;
+/// Time from the beginning of an office until readers are named.
+constexpr auto gather_time = 200ms;
 /// Name of the table of a deployment without keyed services.
 constexpr const char* no_service = "no-keyed-service";
 } // namespace
 
-cw_gateway_control::cw_gateway_control(cw_steward_id self, cw_steward_options options,
+cw_gateway_control::cw_gateway_control(cw_steward_id self, cw_host_place place,
+                                       cw_steward_options options,
                                        std::chrono::milliseconds return_time, std::uint64_t seed)
     : self_{std::move(self)},
+      place_{std::move(place)},
       options_{options},
       seed_{seed},
       directory_{return_time} {}
@@ -40,6 +44,7 @@
         changed_ = false;
     }
     output.gathering_service = stewards_.empty() ? "" : stewards_.begin()->first;
+    output.readers = readers_;
     output.crashes = std::exchange(untold_crashes_, {});
     output.commands = std::exchange(commands_, {});
     output.events = std::exchange(events_, {});
@@ -88,6 +93,7 @@
     }
     auto steward = std::make_unique<cw_steward>(service, self_, options_, seed_ + stewards_.size());
     steward->on_upstreams(directory_.entries(), now);
+    steward->set_reader(is_reader());
     stewards_.emplace(service, std::move(steward));
 }
 
@@ -156,6 +162,7 @@
             hosts_ = event.hosts;
             changed_ = true;
         }
+        take_readers(event.readers);
         if (event.crashes && *event.crashes != told_crashes_) {
             told_crashes_ = *event.crashes;
             changed_ = true;
@@ -179,6 +186,9 @@
 
 void cw_gateway_control::on(const cw_host_report& event, cw_boot_time now) {
     members_[event.host] = now;
+    auto& place = places_[event.host];
+    places_changed_ = places_changed_ || place != event.place;
+    place = event.place;
     for (auto& [service, steward] : stewards_) {
         steward->on_member(event.host, event.incarnation, now);
     }
@@ -240,6 +250,10 @@
 void cw_gateway_control::count_hosts(cw_boot_time now) {
     std::erase_if(members_,
                   [now](const auto& member) { return now > member.second + member_silence; });
+    const auto lost =
+        std::erase_if(places_, [&](const auto& place) { return !members_.contains(place.first); });
+    places_changed_ = places_changed_ || lost != 0;
+    name_readers(now);
     const bool leads = std::any_of(stewards_.begin(), stewards_.end(),
                                    [](const auto& item) { return item.second->is_steward(); });
     const auto hosts = static_cast<std::uint32_t>(members_.size()) + 1;
@@ -249,6 +263,52 @@
     }
 }
 
+bool cw_gateway_control::is_reader() const {
+    // Before any are named, every host is as good as another.
+    return readers_.empty() ||
+           std::find(readers_.begin(), readers_.end(), place_.address) != readers_.end();
+}
+
+void cw_gateway_control::name_readers(cw_boot_time now) {
+    if (!gathers()) {
+        gathers_since_ = {};
+        changed_ = changed_ || !reader_orders_.empty();
+        reader_orders_.clear();
+        return;
+    }
+    if (gathers_since_ == cw_boot_time{}) {
+        gathers_since_ = now;
+        places_changed_ = true;
+    }
+    // Hosts report within moments, and an order that is named too soon changes with each of them.
+    if (!places_changed_ || now < gathers_since_ + gather_time) {
+        return;
+    }
+    places_changed_ = false;
+    auto hosts = places_;
+    hosts[self_.host] = place_;
+    auto orders = cw_rank_readers(hosts, reader_orders_);
+    if (orders == reader_orders_) {
+        return;
+    }
+    reader_orders_ = std::move(orders);
+    changed_ = true;
+    for (const auto& [domain, order] : reader_orders_) {
+        note("readers named", domain, order.front() + " of " + std::to_string(hosts.size()));
+    }
+    take_readers(reader_orders_[place_.domain]);
+}
+
+void cw_gateway_control::take_readers(const std::vector<std::string>& readers) {
+    if (readers.empty() || readers == readers_) {
+        return;
+    }
+    readers_ = readers;
+    for (auto& [service, steward] : stewards_) {
+        steward->set_reader(is_reader());
+    }
+}
+
 bool cw_gateway_control::tables_changed() const {
     return std::any_of(stewards_.begin(), stewards_.end(), [&](const auto& item) {
         const auto& table = item.second->table();
@@ -267,6 +327,7 @@
     view->hosts = hosts_;
     view->stopping = stopping_;
     view->seeking = seeking_;
+    view->readers = reader_orders_;
     view->crashes = gathers() ? ledger_.all() : told_crashes_;
     for (const auto& [id, entry] : directory_.entries()) {
         if (!entry.leaving) {
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -23,6 +23,8 @@
     /// The service whose steward gathers crashes, and crashes to report to it.
     std::string gathering_service;
     std::vector<cw_crash_note> crashes;
+    /// Addresses of the hosts that read the store for this one, in their order.
+    std::vector<std::string> readers;
 };
 
 /// The control state of one gateway: configuration, upstreams and the ownership of keys.
@@ -30,7 +32,9 @@
 /// A deterministic state machine: it reads no clock and does no I/O.
 class cw_gateway_control {
 public:
-    cw_gateway_control(cw_steward_id self, cw_steward_options options,
+    /// `place` is that of this host; `return_time` is how long lapsed entries may take to come
+    /// back.
+    cw_gateway_control(cw_steward_id self, cw_host_place place, cw_steward_options options,
                        std::chrono::milliseconds return_time, std::uint64_t seed);
 
     [[nodiscard]] cw_control_output decide(const cw_control_event& event, cw_boot_time now);
@@ -58,12 +62,18 @@
     /// True when this host is the steward that gathers crashes: that of the first service.
     [[nodiscard]] bool gathers() const;
     void count_hosts(cw_boot_time now);
+    /// Names the readers of each failure domain while this host gathers.
+    void name_readers(cw_boot_time now);
+    /// True when this host may have to read the store for others.
+    [[nodiscard]] bool is_reader() const;
+    void take_readers(const std::vector<std::string>& readers);
     void note(std::string what, std::string subject, std::string detail);
     [[nodiscard]] std::shared_ptr<const cw_gateway_view> make_view() const;
     [[nodiscard]] bool tables_changed() const;
     cw_steward* steward_of(const std::string& service);
 
     cw_steward_id self_;
+    cw_host_place place_;
     cw_steward_options options_;
     std::uint64_t seed_;
     cw_upstream_directory directory_;
@@ -71,6 +81,13 @@
     std::map<std::string, std::unique_ptr<cw_steward>> stewards_;
     /// Hosts that have reported here, with the moment of their last report.
     std::map<std::string, cw_boot_time> members_;
+    cw_host_places places_;
+    bool places_changed_ = true;
+    /// When this host began to gather; the clock's beginning while it does not.
+    cw_boot_time gathers_since_{};
+    cw_reader_orders reader_orders_;
+    /// Readers of this host's failure domain.
+    std::vector<std::string> readers_;
     /// Hosts that share the budgets. Until a steward has told, many are assumed.
     std::uint32_t hosts_ = assumed_hosts;
     static constexpr std::uint32_t assumed_hosts = 8;
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_async.h"
+#include "cw_gateway_feed.h"
 #include "cw_gateway_messages.h"
 #include "cw_gateway_options.h"
 #include "cw_gateway_port.h"
@@ -13,7 +14,6 @@
 #include "cw_timeline.h"
 
 #include <caf/send.hpp>
-#include <random>
 #include <set>
 
 /// Carries out what the control state decides: calls to the store and to upstreams, the exchange
@@ -35,8 +35,14 @@
               store_http_, options.store,
               [this](const cw_error& error, std::uint64_t revision) { reject(error, revision); }},
           orders_{order_http_},
-          exchange_{context, options, self, traffic,
-                    [this](cw_control_event event) { deliver(std::move(event)); }} {}
+          feed_{context, options, store_, self.address,
+                [this](cw_control_event event) { deliver(std::move(event)); }},
+          exchange_{context,
+                    options,
+                    self,
+                    traffic,
+                    [this](cw_control_event event) { deliver(std::move(event)); },
+                    [this](std::string target) { return feed_.serve(std::move(target)); }} {}
 
     void start() {
         traffic_.crashes().set_reporter(
@@ -44,8 +50,7 @@
                 deliver(cw_crash_note{fingerprint, address, answered});
             });
         exchange_.start();
-        spawn(follow_config());
-        spawn(follow_upstreams());
+        feed_.start();
     }
 
     /// Takes what the control state decided; called on the I/O thread.
@@ -58,6 +63,7 @@
             traffic_.publish(output.view);
             exchange_.on_view(output.view);
         }
+        feed_.on_readers(output.readers);
         exchange_.on_stewards(output.stewards);
         exchange_.on_crashes(output.gathering_service, output.crashes);
         for (const auto& command : output.commands) {
@@ -78,15 +84,7 @@
     using milliseconds = std::chrono::milliseconds;
     using nothing = boost::asio::awaitable<void>;
 
-    static constexpr milliseconds store_timeout{1'200};
     static constexpr milliseconds table_timeout{800};
-    static constexpr milliseconds store_retry{250};
-    /// A watch that waits while the store falls silent is never answered, also when the store is
-    /// back, and until its deadline nothing is heard of upstreams that leave.
-    static constexpr milliseconds watch_wait{1'500};
-    static constexpr milliseconds watch_grace{1'500};
-    /// A cut watch looks like one without news, so none waits longer than this.
-    static constexpr milliseconds config_wait{1'000};
     static constexpr milliseconds grant_timeout{120};
     /// Releases are answered when the work that runs on the keys has ended.
     static constexpr milliseconds release_timeout{4'000};
@@ -97,13 +95,6 @@
 
     void spawn(nothing work) { cw_spawn(context_, std::move(work), log_); }
 
-    /// A pause of about the given length, so that hosts do not call in step.
-    nothing pause_about(milliseconds length) {
-        const auto spread = static_cast<std::uint64_t>(length.count() / 4 + 1);
-        const auto extra = static_cast<std::int64_t>(engine_() % spread);
-        co_await cw_pause(context_, length * 7 / 8 + milliseconds{extra});
-    }
-
     void reject(const cw_error& error, std::uint64_t revision) {
         if (rejected_.insert(error.peer + "@" + std::to_string(revision)).second) {
             log_.warning("An object of the store is passed over.",
@@ -116,64 +107,6 @@
         }
     }
 
-    nothing follow_config() {
-        std::uint64_t revision = 0;
-        bool is_lost = false;
-        while (true) {
-            cw_result<cw_config_change> seen;
-            if (revision == 0) {
-                seen = co_await store_.read_config(after(store_timeout));
-            } else {
-                seen = co_await store_.watch_config(revision, config_wait,
-                                                    after(config_wait + watch_grace));
-            }
-            if (is_lost != !seen) {
-                is_lost = !seen;
-                log_.info(is_lost ? "The configuration is out of reach."
-                                  : "The configuration is in reach again.",
-                          {{"error", seen ? "" : seen.error().text()}});
-            }
-            if (!seen) {
-                co_await pause_about(store_retry);
-                continue;
-            }
-            revision = seen->is_history_gone ? 0 : seen->revision;
-            if (seen->config != nullptr) {
-                deliver(cw_config_seen{seen->config});
-            }
-        }
-    }
-
-    nothing follow_upstreams() {
-        std::uint64_t revision = 0;
-        // The first watch after a failure does not wait, so that its silence shows soon.
-        auto wait = watch_wait;
-        while (true) {
-            const bool lists = revision == 0;
-            cw_result<cw_upstream_change> seen;
-            if (lists) {
-                seen = co_await store_.list_upstreams(store_timeout);
-            } else {
-                seen = co_await store_.watch_upstreams(revision, wait, after(wait + watch_grace));
-            }
-            wait = seen ? watch_wait : milliseconds{0};
-            if (!seen) {
-                deliver(cw_store_disturbed{seen.error().text()});
-                co_await pause_about(store_retry);
-                continue;
-            }
-            revision = seen->is_history_gone ? 0 : seen->revision;
-            if (lists) {
-                deliver(cw_upstreams_listed{std::move(seen->written)});
-            } else if (!seen->is_history_gone) {
-                deliver(cw_upstreams_changed{std::move(seen->written), std::move(seen->removed)});
-            }
-            if (revision != 0) {
-                co_await pause_about(options_.upstream_poll);
-            }
-        }
-    }
-
     void carry_out(const cw_key_order& order) { spawn(send_order(order)); }
     void carry_out(const cw_read_table& command) { spawn(read_table(command)); }
     void carry_out(const cw_write_table& command) { spawn(write_table(command)); }
@@ -212,8 +145,8 @@
     }
 
     nothing write_beat(cw_write_beat command) {
-        const auto answer =
-            co_await store_.write_beat(command.service, command.count, after(table_timeout));
+        const auto answer = co_await store_.write_beat(command.service, command.count, command.term,
+                                                       after(table_timeout));
         deliver(cw_ownership_event{command.service, answer});
     }
 
@@ -234,8 +167,8 @@
     cw_http_client order_http_;
     typename Port::store store_;
     typename Port::orders orders_;
-    std::minstd_rand engine_{std::random_device{}()};
     std::shared_ptr<const cw_gateway_view> view_;
     std::set<std::string> rejected_;
+    cw_gateway_feed<Port> feed_;
     cw_host_exchange exchange_;
 };
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -3,6 +3,7 @@
 #include "cw_address.h"
 #include "cw_steward_options.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -31,5 +32,13 @@
     /// Retries of all hosts together: a share of the requests, and a number within the window.
     double retry_share = 0.2;
     double retry_slack = 60.0;
+    /// Share of the machine's processor, in cores.
+    double processor_share = 1.0;
+    /// Rate of the machine's link, in Mbit/s.
+    double link_rate = 1'000.0;
     cw_steward_options ownership;
+
+    /// What the machine can carry beside traffic, in cores: its processor, or less when its link
+    /// binds first.
+    [[nodiscard]] double strength() const { return std::min(processor_share, link_rate / 400.0); }
 };
--- a/Source/cw_gateway_port.h
+++ b/Source/cw_gateway_port.h
@@ -35,7 +35,7 @@
         } -> std::same_as<boost::asio::awaitable<cw_table_answer>>;
     { store.read_beat(text, deadline) } -> std::same_as<boost::asio::awaitable<cw_beat_answer>>;
     {
-        store.write_beat(text, number, deadline)
+        store.write_beat(text, number, number, deadline)
         } -> std::same_as<boost::asio::awaitable<cw_beat_answer>>;
     { store.calls() } -> std::convertible_to<std::uint64_t>;
 };
--- a/Source/cw_gateway_settings.cpp
+++ b/Source/cw_gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "cw_gateway_settings.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -96,6 +97,16 @@
     std::vector<std::string> mistakes_;
 };
 
+/// Strength from which a machine carries a steward without falling behind.
+constexpr double steward_strength = 0.15;
+/// Time by which the weakest machine lets others claim an office first.
+constexpr double longest_claim_delay_ms = 300.0;
+
+std::chrono::milliseconds claim_delay_for(double strength) {
+    const auto lack = std::clamp(1.0 - strength / steward_strength, 0.0, 1.0);
+    return std::chrono::milliseconds{std::llround(longest_claim_delay_ms * lack)};
+}
+
 } // namespace
 
 tl::expected<cw_gateway_options, std::vector<std::string>>
@@ -116,9 +127,12 @@
     options.stop_grace = settings.seconds("stop_grace_s", options.stop_grace);
     options.retry_share = settings.number("retry_share", 0.0, 1.0, options.retry_share);
     options.retry_slack = settings.number("retry_slack", 0.0, 1e6, options.retry_slack);
+    options.processor_share = settings.number("processor_share", 0.0, 1e4, options.processor_share);
+    options.link_rate = settings.number("link_mbps", 0.0, 1e6, options.link_rate);
     auto& ownership = options.ownership;
     ownership.tenure = settings.seconds("longest_lease_s", ownership.tenure);
     ownership.lease = std::min(ownership.lease, ownership.tenure);
+    ownership.claim_delay = claim_delay_for(options.strength());
     if (!settings.mistakes().empty()) {
         return tl::unexpected(settings.mistakes());
     }
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_key_table.h"
+#include "cw_reader_ranking.h"
 #include "cw_site_config.h"
 #include "cw_upstream_entry.h"
 
@@ -23,6 +24,8 @@
     std::uint32_t hosts = 1;
     /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
     std::map<std::uint64_t, std::uint32_t> crashes;
+    /// Readers that this host names, by failure domain; empty when others name them.
+    cw_reader_orders readers;
     /// Services whose steward this host is without an answer from the store.
     std::set<std::string> seeking;
     /// True once the process has been told to stop.
--- a/Source/cw_host_exchange.cpp
+++ b/Source/cw_host_exchange.cpp
@@ -1,5 +1,6 @@
 #include "cw_host_exchange.h"
 
+#include "cw_feed_answer.h"
 #include "cw_gateway_options.h"
 #include "cw_gateway_traffic.h"
 #include "cw_query.h"
@@ -48,12 +49,14 @@
 
 cw_host_exchange::cw_host_exchange(boost::asio::io_context& context,
                                    const cw_gateway_options& options, cw_steward_id self,
-                                   cw_gateway_traffic& traffic, deliver_function deliver)
+                                   cw_gateway_traffic& traffic, deliver_function deliver,
+                                   feed_function feed)
     : context_{context},
       options_{options},
       self_{std::move(self)},
       traffic_{traffic},
       deliver_{std::move(deliver)},
+      feed_{std::move(feed)},
       http_{context},
       view_changed_{context},
       server_{context, options.peers,
@@ -116,7 +119,12 @@
 boost::asio::awaitable<void> cw_host_exchange::report_to(cw_steward_id steward,
                                                          std::string service) {
     const auto known = table_of(service);
-    cw_host_report report{service, options_.host, self_.incarnation, take_counts(service), {}};
+    cw_host_report report;
+    report.service = service;
+    report.host = options_.host;
+    report.incarnation = self_.incarnation;
+    report.place = {options_.domain, self_.address, options_.strength()};
+    report.counts = take_counts(service);
     if (service == gathering_service_) {
         report.crashes = std::exchange(untold_crashes_, {});
     }
@@ -153,7 +161,7 @@
         return false;
     }
     deliver_(cw_steward_answer{service, std::move(*table), reply->hosts, reply->seeks_successor,
-                               reply->crashes});
+                               reply->crashes, reply->readers});
     return true;
 }
 
@@ -184,6 +192,9 @@
 
 boost::asio::awaitable<cw_http_response> cw_host_exchange::serve(cw_http_request request) {
     const std::string_view target{request.target().data(), request.target().size()};
+    if (target.starts_with(cw_feed_path)) {
+        return feed_(std::string{target});
+    }
     if (target.starts_with(succession_path)) {
         return serve_succession(std::move(request));
     }
@@ -233,6 +244,10 @@
     reply.is_whole_table = news.is_whole;
     if (service == gathering_service_ && view_ != nullptr) {
         reply.crashes = view_->crashes;
+        const auto readers = view_->readers.find(report->place.domain);
+        if (readers != view_->readers.end()) {
+            reply.readers = readers->second;
+        }
     }
     const auto table = table_of(service);
     const bool leads = table != nullptr && table->steward == self_;
--- a/Source/cw_host_exchange.h
+++ b/Source/cw_host_exchange.h
@@ -26,11 +26,14 @@
 class cw_host_exchange {
 public:
     using deliver_function = std::function<void(cw_control_event)>;
+    /// Answers a host that follows this one; takes the request's target.
+    using feed_function = std::function<boost::asio::awaitable<cw_http_response>(std::string)>;
 
     /// Binds the address for other hosts; throws boost::system::system_error when it is taken.
-    /// What is heard is handed to `deliver`.
+    /// What is heard is handed to `deliver`; `feed` answers the hosts that follow this one.
     cw_host_exchange(boost::asio::io_context& context, const cw_gateway_options& options,
-                     cw_steward_id self, cw_gateway_traffic& traffic, deliver_function deliver);
+                     cw_steward_id self, cw_gateway_traffic& traffic, deliver_function deliver,
+                     feed_function feed);
 
     void start();
     /// Takes the key tables that other hosts are told of.
@@ -85,6 +88,7 @@
     cw_steward_id self_;
     cw_gateway_traffic& traffic_;
     deliver_function deliver_;
+    feed_function feed_;
     cw_log log_{"exchange"};
     cw_http_client http_;
     std::shared_ptr<const cw_gateway_view> view_;
--- a/Source/cw_host_report.cpp
+++ b/Source/cw_host_report.cpp
@@ -14,6 +14,9 @@
     return nlohmann::json{{"service", service},
                           {"host", host},
                           {"incarnation", incarnation},
+                          {"domain", place.domain},
+                          {"address", place.address},
+                          {"strength", place.strength},
                           {"counts", list},
                           {"crashes", notes}}
         .dump();
@@ -26,6 +29,10 @@
         report.service = value.at("service").get<std::string>();
         report.host = value.at("host").get<std::string>();
         report.incarnation = value.at("incarnation").get<std::uint64_t>();
+        // Hosts of earlier versions do not tell these.
+        report.place.domain = value.value("domain", std::string{});
+        report.place.address = value.value("address", std::string{});
+        report.place.strength = value.value("strength", 0.0);
         for (const auto& item : value.at("counts")) {
             report.counts.push_back(
                 {item.at(0).get<std::uint32_t>(), item.at(1).get<std::uint32_t>()});
--- a/Source/cw_host_report.h
+++ b/Source/cw_host_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_error.h"
+#include "cw_host_place.h"
 #include "cw_key_load.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
     std::string service;
     std::string host;
     std::uint64_t incarnation = 0;
+    cw_host_place place;
     std::vector<cw_key_count> counts;
     /// Since the last report; only in reports to the steward that gathers them.
     std::vector<cw_crash_note> crashes;
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -54,6 +54,7 @@
     if (!is_started_) {
         is_started_ = true;
         suspicion_.reset(now);
+        suspicion_.wait_for_others(now);
     }
     if (is_steward()) {
         lead(now, out);
@@ -129,6 +130,11 @@
     options_.tenure = std::max(options_.tenure, tenure);
 }
 
+void cw_steward::set_reader(bool is_reader) {
+    is_reader_ = is_reader;
+    suspicion_.set_reader(is_reader);
+}
+
 void cw_steward::on_stop(cw_boot_time now, commands& out) {
     if (stopping_) {
         return;
@@ -212,6 +218,8 @@
         return;
     }
     suspicion_.on_beat(event.count, now);
+    // Beats of a later term: another steward is in office, and this host has not heard of it.
+    is_read_ = is_read_ && event.term <= table_.term;
 }
 
 // -- following
@@ -226,7 +234,7 @@
         claim(now, out);
     } else if (!is_vacant && suspicion_.is_silent(now) && !beat_busy_ && now >= next_beat_) {
         beat_busy_ = true;
-        next_beat_ = now + options_.beat / 2;
+        next_beat_ = now + (is_reader_ ? options_.beat / 2 : options_.follower_beat_look);
         out.emplace_back(cw_read_beat{service_});
     }
 }
@@ -254,7 +262,7 @@
     if (!beat_busy_ && now >= next_beat_) {
         beat_busy_ = true;
         next_beat_ = now + options_.beat;
-        out.emplace_back(cw_write_beat{service_, ++beat_});
+        out.emplace_back(cw_write_beat{service_, ++beat_, table_.term});
     }
     if (!is_read_ || now > confirmed_ + confirm_interval) {
         read(now, out);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -47,6 +47,10 @@
     void on_load(const std::vector<cw_key_count>& counts, cw_boot_time now);
     /// The bound comes from settings that may change.
     void set_tenure(std::chrono::milliseconds tenure);
+    /// True for one of the strong hosts that watch a silent steward and succeed it; the others
+    /// leave that to them for a while. The load that it answers: a store that all hosts of a large
+    /// fleet ask at once when their steward falls behind.
+    void set_reader(bool is_reader);
     /// Stops granting and lets another host take over.
     void on_stop(cw_boot_time now, commands& out);
 
@@ -122,6 +126,7 @@
     cw_order_book orders_;
     cw_predecessors predecessors_;
     bool is_started_ = false;
+    bool is_reader_ = true;
 
     cw_key_table table_;
     std::uint64_t revision_ = 0;
--- a/Source/cw_steward_command.h
+++ b/Source/cw_steward_command.h
@@ -51,6 +51,8 @@
 struct cw_write_beat {
     std::string service;
     std::uint64_t count = 0;
+    /// The steward's term.
+    std::uint64_t term = 0;
 };
 /// Reads the steward's sign of life.
 struct cw_read_beat {
--- a/Source/cw_steward_event.h
+++ b/Source/cw_steward_event.h
@@ -54,6 +54,8 @@
     bool was_write = false;
     bool done = false;
     std::uint64_t count = 0;
+    /// Term of the steward that wrote it; 0 when that is not known.
+    std::uint64_t term = 0;
     /// When the call was sent.
     cw_boot_time sent{};
 };
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -34,6 +34,14 @@
     std::chrono::milliseconds patience{600};
     /// Time in which the beats must stand still before another host takes over.
     std::chrono::milliseconds still{900};
+    /// Time by which this host lets others claim a vacant office first.
+    std::chrono::milliseconds claim_delay{0};
+    /// The same for a host that is not among the strongest of its failure domain.
+    std::chrono::milliseconds follower_claim_delay{400};
+    /// Interval at which such a host looks at the beats of a silent steward.
+    std::chrono::milliseconds follower_beat_look{1'200};
+    /// How many times longer the beats must stand still before such a host takes over.
+    int follower_still_factor = 3;
     /// Pause after which a host that lost the stewardship may take it over again.
     std::chrono::milliseconds reclaim{3'000};
     /// Interval between two plans for balance.
--- a/Source/cw_steward_reply.cpp
+++ b/Source/cw_steward_reply.cpp
@@ -19,6 +19,9 @@
     if (crashes) {
         value["crashes"] = *crashes;
     }
+    if (!readers.empty()) {
+        value["readers"] = readers;
+    }
     return value.dump();
 }
 
@@ -39,6 +42,7 @@
         if (value.contains("crashes")) {
             reply.crashes = value.at("crashes").get<std::map<std::uint64_t, std::uint32_t>>();
         }
+        reply.readers = value.value("readers", std::vector<std::string>{});
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{read_step, "", failure.what()});
     }
--- a/Source/cw_steward_reply.h
+++ b/Source/cw_steward_reply.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// What a host answers to another host's report on a service.
 struct cw_steward_reply {
@@ -21,6 +22,9 @@
     bool is_whole_table = false;
     /// Deaths beside each request; only from the steward that gathers them.
     std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
+    /// Addresses of the readers of the reporting host's failure domain in their order; empty from a
+    /// steward that does not name them.
+    std::vector<std::string> readers;
 
     /// The reply as JSON text.
     [[nodiscard]] std::string to_text() const;
--- a/Source/cw_steward_suspicion.cpp
+++ b/Source/cw_steward_suspicion.cpp
@@ -11,6 +11,9 @@
     : patience_{options.patience},
       still_{options.still},
       reclaim_{options.reclaim},
+      claim_delay_{options.claim_delay},
+      follower_claim_delay_{options.follower_claim_delay},
+      follower_still_factor_{options.follower_still_factor},
       engine_{static_cast<std::minstd_rand::result_type>(seed)} {}
 
 void cw_steward_suspicion::reset(cw_boot_time now) {
@@ -20,6 +23,10 @@
     beat_.reset();
 }
 
+void cw_steward_suspicion::wait_for_others(cw_boot_time now) {
+    claim_from_ = std::max(claim_from_, now + claim_delay_);
+}
+
 void cw_steward_suspicion::on_succeeded(cw_boot_time now) {
     claim_from_ = now + reclaim_;
     contact_ = now;
@@ -36,7 +43,8 @@
     if (may_follow) {
         const std::chrono::milliseconds delay{
             static_cast<std::int64_t>(engine_() % most_claim_delay_ms)};
-        claim_from_ = std::max(claim_from_, now + delay);
+        const auto turn = is_reader_ ? claim_delay_ : follower_claim_delay_;
+        claim_from_ = std::max(claim_from_, now + turn + delay);
     }
 }
 
@@ -52,7 +60,8 @@
 }
 
 bool cw_steward_suspicion::may_claim(bool is_vacant, cw_boot_time now) const {
-    const bool stands_still = beat_ && now > still_since_ + still_;
+    const auto still = is_reader_ ? still_ : still_ * follower_still_factor_;
+    const bool stands_still = beat_ && now > still_since_ + still;
     return now >= claim_from_ &&
            (is_vacant || refused_ || sought_ || (is_silent(now) && stands_still));
 }
--- a/Source/cw_steward_suspicion.h
+++ b/Source/cw_steward_suspicion.h
@@ -21,6 +21,10 @@
     void reset(cw_boot_time now);
     /// This host was succeeded, and does not claim again for a while.
     void on_succeeded(cw_boot_time now);
+    /// This host has just started, and lets stronger ones claim a vacant office first.
+    void wait_for_others(cw_boot_time now);
+    /// True for a host that succeeds a lost steward at once; others wait for such hosts.
+    void set_reader(bool is_reader) { is_reader_ = is_reader; }
     void on_contact(cw_contact contact, cw_boot_time now);
     /// The steward's beats were read.
     void on_beat(std::uint64_t count, cw_boot_time now);
@@ -34,6 +38,10 @@
     std::chrono::milliseconds patience_;
     std::chrono::milliseconds still_;
     std::chrono::milliseconds reclaim_;
+    std::chrono::milliseconds claim_delay_;
+    std::chrono::milliseconds follower_claim_delay_;
+    int follower_still_factor_;
+    bool is_reader_ = true;
     std::minstd_rand engine_;
     /// When the steward was last heard.
     cw_boot_time contact_{};
--- a/Source/cw_store_change.h
+++ b/Source/cw_store_change.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
 struct cw_config_change {
     /// Null when there is nothing new that can be used.
     std::shared_ptr<const cw_site_config> config;
+    /// The configuration as the store holds it, for hosts that are told of it.
+    nlohmann::json source;
     /// The store's revision from which to watch on.
     std::uint64_t revision = 0;
     /// True when the store has forgotten the changes since the revision asked for.
--- /dev/null
+++ b/Source/cw_upstream_news.cpp
@@ -0,0 +1,64 @@
+#include "cw_upstream_news.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json entry_to_json(const cw_upstream_entry& entry, cw_boot_time now) {
+    const auto warm_in = std::chrono::ceil<milliseconds>(entry.warm_at - now).count();
+    // Members in a fixed order: hundreds of entries go to each host that starts.
+    return {entry.id,
+            entry.service,
+            entry.address,
+            entry.domain,
+            entry.slots,
+            entry.leaving,
+            std::max<std::int64_t>(warm_in, 0),
+            entry.life};
+}
+
+cw_upstream_entry entry_from_json(const json& value, cw_boot_time now) {
+    cw_upstream_entry entry;
+    entry.id = value.at(0).get<std::string>();
+    entry.service = value.at(1).get<std::string>();
+    entry.address = value.at(2).get<std::string>();
+    entry.domain = value.at(3).get<std::string>();
+    entry.slots = value.at(4).get<std::uint32_t>();
+    entry.leaving = value.at(5).get<bool>();
+    entry.warm_at = now + milliseconds{value.at(6).get<std::int64_t>()};
+    entry.life = value.at(7).get<std::uint64_t>();
+    return entry;
+}
+
+} // namespace
+
+json cw_news_to_json(const cw_upstream_news& news, cw_boot_time now) {
+    auto written = json::array();
+    for (const auto& entry : news.written) {
+        written.push_back(entry_to_json(entry, now));
+    }
+    json value{{"revision", news.revision}, {"written", written}, {"removed", news.removed}};
+    if (news.is_whole) {
+        value["whole"] = true;
+    }
+    return value;
+}
+
+cw_result<cw_upstream_news> cw_news_from_json(const json& value, cw_boot_time now) {
+    cw_upstream_news news;
+    try {
+        news.revision = value.at("revision").get<std::uint64_t>();
+        news.is_whole = value.value("whole", false);
+        for (const auto& item : value.at("written")) {
+            news.written.push_back(entry_from_json(item, now));
+        }
+        news.removed = value.at("removed").get<std::vector<std::string>>();
+    } catch (const json::exception& failure) {
+        return tl::unexpected(cw_error{"parse news of upstreams", "", failure.what()});
+    }
+    return news;
+}
--- a/Tests/Gateway/cw_host_exchange_test.cpp
+++ b/Tests/Gateway/cw_host_exchange_test.cpp
@@ -32,8 +32,14 @@
     std::size_t reports = 0;
     cw_http_server steward_server{context, loopback(steward_port),
                                   [this](cw_http_request) { return answer(); }};
-    cw_host_exchange exchange{context, options, self, traffic,
-                              [this](cw_control_event event) { heard.push_back(event); }};
+    cw_host_exchange exchange{context,
+                              options,
+                              self,
+                              traffic,
+                              [this](cw_control_event event) { heard.push_back(event); },
+                              [](std::string) -> boost::asio::awaitable<cw_http_response> {
+                                  co_return cw_make_response(boost::beast::http::status::ok, "{}");
+                              }};
 
     /// Reports to a steward that gives these answers in turn, the last one again and again.
     void report(std::vector<std::string> given) {
--- a/Tests/Gateway/cw_steward_work_test.cpp
+++ b/Tests/Gateway/cw_steward_work_test.cpp
@@ -77,9 +77,9 @@
             } else if (std::holds_alternative<cw_read_table>(command)) {
                 answer_table(false, more);
             } else if (std::holds_alternative<cw_write_beat>(command)) {
-                steward.on_beat_answer({true, true, ++beats_, now}, now);
+                steward.on_beat_answer({true, true, ++beats_, 0, now}, now);
             } else if (std::holds_alternative<cw_read_beat>(command)) {
-                steward.on_beat_answer({false, true, beats_, now}, now);
+                steward.on_beat_answer({false, true, beats_, 0, now}, now);
             }
         }
         if (!more.empty()) {
