Take neither a rebirth nor a repeated release's answer for the end of a holder

(1) An upstream restarts under its id and address; until its entry tells, up to a second later, the steward's renewals of the old fence reach the new life, which knows nothing and takes them. Ruled out: fences (each grant had the highest), the predecessors' wait (proved).

Change: only another upstream at the address proves an end; a later life is asked to release, which it answers at once. A release is sent once for each fence, and again only if it surely did not arrive; without an answer the lease's end frees the keys. An answer counts for the fence and keys that it was about, also after the range has been cut or moved on.

Tests, both failed first: upstream_reborn_and_renewed_before_its_entry_tells_is_the_only_holder and keys_move_only_when_work_has_ended_that_the_release_found; the world of stewards lets a later life take orders, tells entries late and runs work.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -354,10 +354,11 @@
             continue;
         }
         all_free = false;
-        if (now < who.next_release || orders_.is_busy(who.who)) {
+        if (who.release_fence != 0 || now < who.next_release || orders_.is_busy(who.who)) {
             continue;
         }
         who.next_release = now + options_.release_retry;
+        who.release_fence = range.fence;
         cw_key_order order;
         order.what = cw_key_order::kind::release;
         order.upstream = who.who;
@@ -370,7 +371,9 @@
 }
 
 bool cw_steward::can_hold(const cw_key_range& range, const holder& who, cw_boot_time now) const {
-    if (has_ended(who.who)) {
+    // A later life under the same id proves nothing: until its entry told of it, the renewals meant
+    // for the earlier life have reached it. It answers a release at once.
+    if (orders_.is_replaced(who.who)) {
         return false;
     }
     return now <= std::max(who.hold_end, predecessors_.end()) ||
@@ -448,23 +451,23 @@
 }
 
 void cw_steward::on_release_ended(const cw_key_order& order, const cw_order_ended& event) {
-    if (event.result != cw_order_result::done) {
-        return;
-    }
     for (std::size_t place = 0; place < table_.ranges.size(); ++place) {
         const auto& range = table_.ranges[place];
-        if (!cw_overlap(range, order) || range.fence != order.fence) {
+        if (range.first < order.first || range.last > order.last) {
             continue;
         }
         auto& state = states_[place];
         for (auto& who : state.holders) {
-            if (who.who == order.upstream) {
+            if (who.who != order.upstream || who.release_fence != order.fence) {
+                continue;
+            }
+            if (event.result == cw_order_result::done) {
                 who.is_free = true;
+                state.handover = event.handover.empty() ? state.handover : event.handover;
+            } else if (event.result == cw_order_result::not_sent) {
+                who.release_fence = 0;
             }
         }
-        if (!event.handover.empty()) {
-            state.handover = event.handover;
-        }
     }
 }
 
@@ -575,7 +578,8 @@
         state.handover = old.handover;
     }
     for (const auto& owner : range.before) {
-        holder who{owner, {}, {}, false};
+        holder who;
+        who.who = owner;
         for (const auto& known : old.holders) {
             if (known.who == owner) {
                 who = known;
@@ -583,6 +587,7 @@
         }
         if (old_range.owner == owner) {
             who.hold_end = std::max(who.hold_end, old.hold_end);
+            who.release_fence = 0;
             who.is_free = false;
         }
         who.next_release = {};
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -73,6 +73,9 @@
         /// Latest end of what this host granted.
         cw_boot_time hold_end{};
         cw_boot_time next_release{};
+        /// Fence of the release that was sent; 0 when none can have arrived. A second one would be
+        /// answered at once, though work that the first has found still runs.
+        std::uint64_t release_fence = 0;
         bool is_free = false;
     };
     /// What this host knows of a range beyond the table.
@@ -113,6 +116,8 @@
     /// Shows moving ranges that are confirmed as settled, unless a write is under way.
     void settle(cw_boot_time now);
     void check_predecessors(cw_boot_time now);
+    /// True when an owner can no longer be granted anything: its id lives on in a later life, or
+    /// another upstream is at its address.
     [[nodiscard]] bool has_ended(const cw_key_owner& owner) const;
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
     /// Gives a range whose owner has seen a higher fence one above that.
--- a/Tests/Gateway/cw_grant_world.cpp
+++ b/Tests/Gateway/cw_grant_world.cpp
@@ -34,11 +34,17 @@
 struct cw_grant_world::upstream_process {
     std::string id;
     std::uint64_t life = 0;
+    /// The life that its entry tells.
+    std::uint64_t told_life = 0;
+    cw_boot_time warm_at{};
     bool up = true;
     bool announced = true;
     bool leaving = false;
     std::array<std::uint64_t, samples> seen{};
     std::array<cw_boot_time, samples> held_until{};
+    /// End of the requests that run, and of the last lease, whether it was released or not.
+    std::array<cw_boot_time, samples> works_until{};
+    std::array<cw_boot_time, samples> granted_until{};
 
     [[nodiscard]] bool holds(std::size_t sample, cw_boot_time now) const {
         return up && now < held_until.at(sample);
@@ -207,7 +213,8 @@
             entry.address = id + ":1";
             entry.slots = 3;
             entry.leaving = upstream->leaving;
-            entry.life = upstream->life;
+            entry.warm_at = upstream->warm_at;
+            entry.life = upstream->told_life;
             entries.emplace(id, entry);
         }
     }
@@ -216,12 +223,28 @@
     }
 }
 
-void cw_grant_world::start_upstream(const std::string& id) {
+void cw_grant_world::start_upstream(const std::string& id, std::chrono::milliseconds entry_lag,
+                                    std::chrono::milliseconds cold) {
     auto upstream = std::make_unique<upstream_process>();
     upstream->id = id;
     upstream->life = next_life_++;
+    upstream->warm_at = now_ + cold;
+    const auto before = upstreams_.find(id);
+    upstream->told_life = before == upstreams_.end() ? upstream->life : before->second->told_life;
     upstreams_[id] = std::move(upstream);
-    tell_hosts();
+    at(entry_lag, [this, id] {
+        upstreams_.at(id)->told_life = upstreams_.at(id)->life;
+        tell_hosts();
+    });
+}
+
+void cw_grant_world::begin_work(const std::string& id, std::chrono::milliseconds length) {
+    auto& upstream = *upstreams_.at(id);
+    for (std::size_t sample = 0; sample < samples; ++sample) {
+        if (upstream.holds(sample, now_)) {
+            upstream.works_until.at(sample) = now_ + length;
+        }
+    }
 }
 
 void cw_grant_world::crash_upstream(const std::string& id) {
@@ -245,7 +268,19 @@
     tell_hosts();
 }
 
-cw_order_ended cw_grant_world::obey(upstream_process& upstream, const cw_key_order& order) {
+void cw_grant_world::check_work(const std::string& taker, std::size_t sample) {
+    for (const auto& [id, other] : upstreams_) {
+        const bool works = other->up && now_ < other->works_until.at(sample) &&
+                           now_ < other->granted_until.at(sample);
+        if (id != taker && works && violations_.size() < 20) {
+            violations_.push_back("key " + std::to_string(key_of(sample)) + " went to " + taker +
+                                  " while " + id + " worked on it");
+        }
+    }
+}
+
+cw_order_ended cw_grant_world::obey(upstream_process& upstream, const cw_key_order& order,
+                                    cw_boot_time& released) {
     cw_order_ended ended;
     ended.number = order.number;
     ended.result = cw_order_result::done;
@@ -262,10 +297,17 @@
             continue;
         }
         upstream.seen.at(sample) = std::max(upstream.seen.at(sample), order.fence);
+        if (!grants && upstream.holds(sample, now_)) {
+            released = std::max(released, upstream.works_until.at(sample));
+        }
         upstream.held_until.at(sample) =
             grants ? now_ + std::chrono::duration_cast<std::chrono::nanoseconds>(order.lease *
                                                                                  slow_clock)
                    : cw_boot_time{};
+        if (grants) {
+            upstream.granted_until.at(sample) = upstream.held_until.at(sample);
+            check_work(upstream.id, sample);
+        }
         if (grants && last_holder_.at(sample) != upstream.id) {
             if (order.fence <= fences_.at(sample)) {
                 violations_.push_back("key " + std::to_string(key_of(sample)) + " went to " +
@@ -348,18 +390,25 @@
             auto late = order;
             late.lease = std::max(order.lease - delay, 0ms);
             if (target.up && target.life == life && late.lease > 0ms) {
-                static_cast<void>(obey(target, late));
+                cw_boot_time released{};
+                static_cast<void>(obey(target, late, released));
             }
         });
         failed.result = cw_order_result::unanswered;
         finish(timeout, failed);
         return;
     }
-    at(message_time, [=, this, life = upstream->second->life]() mutable {
+    // An order names an id, so whatever life answers to it then takes it.
+    at(message_time, [=, this]() mutable {
         auto& target = *upstreams_.at(order.upstream.id);
-        if (target.up && target.life == life) {
-            finish(message_time, obey(target, order));
-            return;
+        if (target.up) {
+            cw_boot_time released = now_;
+            const auto ended = obey(target, order, released);
+            const auto work = std::chrono::ceil<std::chrono::milliseconds>(released - now_);
+            if (work < timeout) {
+                finish(message_time + work, ended);
+                return;
+            }
         }
         failed.result = cw_order_result::unanswered;
         finish(message_time, failed);
--- a/Tests/Gateway/cw_grant_world.h
+++ b/Tests/Gateway/cw_grant_world.h
@@ -30,7 +30,11 @@
     void freeze_host(const std::string& host, std::chrono::milliseconds length);
     void stop_host(const std::string& host);
 
-    void start_upstream(const std::string& id);
+    /// Hosts learn of the new life from its entry after the lag, and that it is slow for a while.
+    void start_upstream(const std::string& id, std::chrono::milliseconds entry_lag = {},
+                        std::chrono::milliseconds cold = {});
+    /// Requests for all keys that the upstream holds run there for so long from now on.
+    void begin_work(const std::string& id, std::chrono::milliseconds length);
     /// Ends a life: it holds nothing any more, and nothing listens at its address.
     void crash_upstream(const std::string& id);
     /// Announces that it will end.
@@ -88,7 +92,11 @@
     void deliver(const std::string& host, std::uint64_t incarnation,
                  const std::function<void(host_process&, cw_steward::commands&)>& what);
     void answer_table(const host_process& host, cw_table_answer answer, bool lost);
-    cw_order_ended obey(upstream_process& upstream, const cw_key_order& order);
+    /// Carries an order out. `released` is raised to the end of the work on keys that it ends the
+    /// lease of; only then does the upstream answer.
+    cw_order_ended obey(upstream_process& upstream, const cw_key_order& order,
+                        cw_boot_time& released);
+    void check_work(const std::string& taker, std::size_t sample);
     void tell_hosts();
     void look();
     [[nodiscard]] bool is_cut(const std::string& one, const std::string& other) const;
--- a/Tests/Gateway/cw_steward_schedule.cpp
+++ b/Tests/Gateway/cw_steward_schedule.cpp
@@ -47,7 +47,7 @@
 
 void cw_steward_schedule::disturb() {
     const auto name = host();
-    switch (engine_() % 13) {
+    switch (engine_() % 15) {
     case 0:
         world_.kill_host(name);
         break;
@@ -82,11 +82,18 @@
         world_.crash_upstream(upstream());
         break;
     case 10:
-        world_.start_upstream(upstream());
+        world_.start_upstream(upstream(), std::chrono::milliseconds{engine_() % 900},
+                              std::chrono::milliseconds{engine_() % 3'000});
         break;
     case 11:
         world_.lapse_upstream(upstream());
         break;
+    case 12:
+        world_.begin_work(upstream(), std::chrono::milliseconds{engine_() % 2'000});
+        break;
+    case 13:
+        world_.drain_upstream(upstream());
+        break;
     default:
         for (int i = 0; i < 4; ++i) {
             if (!runs("h" + std::to_string(i))) {
--- a/Tests/Gateway/cw_steward_test.cpp
+++ b/Tests/Gateway/cw_steward_test.cpp
@@ -137,6 +137,24 @@
     check_rules();
 }
 
+TEST_CASE_FIXTURE(settled_world,
+                  "upstream_reborn_and_renewed_before_its_entry_tells_is_the_only_holder") {
+    world.crash_upstream("u3");
+    world.start_upstream("u3", 700ms, 3s);
+    world.run(5s);
+    CHECK(world.longest_absence() <= 1'500ms);
+    check_rules();
+}
+
+TEST_CASE_FIXTURE(settled_world, "keys_move_only_when_work_has_ended_that_the_release_found") {
+    world.begin_work("u2", 700ms);
+    world.drain_upstream("u2");
+    world.run(3s);
+    CHECK(keys_of("u2") == 0);
+    CHECK(world.longest_absence() <= 800ms);
+    check_rules();
+}
+
 TEST_CASE_FIXTURE(settled_world, "upstream_that_joins_is_given_keys_within_two_seconds") {
     world.start_upstream("u7");
     world.run(2s);
