Bound answers that never end in bytes and in time

Cause, found by the new test: an upstream that sends without a pause was read for ever. Each of its reads was done before the deadline's alarm could cancel it, and zeros of a chunk's size or an extension without end count as no body: 2.0 GB taken in 5 s, no answer to the caller, the traffic thread at work on nothing else. Ruled out: the body's bound (8 MB now, 64 MB before, which a machine of 160 MB cannot hold twice) and the parser's header bound (it covers heads, not chunks).

Change: a deadline or a caller's end closes the upstream's connection; unparsed bytes are held up to 256 KiB on every connection, control calls included; an answer counts its bytes with their framing. It may have run, so the caller gets 502 or 504.

--- a/Source/cw_call_watch.cpp
+++ b/Source/cw_call_watch.cpp
@@ -17,7 +17,7 @@
         caller_left = true;
         boost::system::error_code ignored;
         if (upstream != nullptr) {
-            upstream->cancel(ignored);
+            upstream->close(ignored);
         }
         if (pause != nullptr) {
             pause->cancel();
@@ -54,7 +54,7 @@
 
 void cw_call_watch::guard(net::ip::tcp::socket& upstream, cw_time_point deadline) {
     state_->upstream = &upstream;
-    alarm_.set(upstream, deadline);
+    alarm_.set(upstream, deadline, cw_alarm_effect::close);
 }
 
 void cw_call_watch::release() {
@@ -77,6 +77,13 @@
     pause_.cancel();
 }
 
+bool cw_call_watch::look_whether_caller_left() {
+    if (!state_->caller_left && has_ended(caller_)) {
+        state_->on_caller_left();
+    }
+    return state_->caller_left;
+}
+
 bool cw_call_watch::has_caller_left() const {
     return state_->caller_left;
 }
--- a/Source/cw_call_watch.h
+++ b/Source/cw_call_watch.h
@@ -21,7 +21,7 @@
     cw_call_watch(const cw_call_watch&) = delete;
     cw_call_watch& operator=(const cw_call_watch&) = delete;
 
-    /// From now on ends operations on this socket, at the deadline or with the caller.
+    /// From now on closes this socket at the deadline or when the caller goes away.
     void guard(boost::asio::ip::tcp::socket& upstream, cw_time_point deadline);
     /// Guards no socket any more.
     void release();
@@ -30,6 +30,9 @@
     void wake();
 
     [[nodiscard]] bool has_caller_left() const;
+    /// The same, after a look at the connection: its end may have arrived and not been heard yet
+    /// when this host is behind with its work.
+    [[nodiscard]] bool look_whether_caller_left();
     /// True when the deadline of the last guard() has ended an operation.
     [[nodiscard]] bool is_expired() const { return alarm_.has_gone_off(); }
 
--- a/Source/cw_death_probe.cpp
+++ b/Source/cw_death_probe.cpp
@@ -20,7 +20,7 @@
     }
     net::ip::tcp::socket probe{context};
     cw_socket_alarm alarm{context};
-    alarm.set(probe, std::chrono::steady_clock::now() + connect_limit);
+    alarm.set(probe, std::chrono::steady_clock::now() + connect_limit, cw_alarm_effect::close);
     boost::system::error_code failure;
     co_await probe.async_connect(endpoint->tcp(), cw_into(failure));
     if (failure) {
@@ -30,7 +30,7 @@
     }
     // A process that is ending closes its connections one after the other; its listening socket may
     // be the last and still take the probe, which is then reset.
-    alarm.set(probe, std::chrono::steady_clock::now() + ending_time);
+    alarm.set(probe, std::chrono::steady_clock::now() + ending_time, cw_alarm_effect::close);
     co_await probe.async_wait(net::ip::tcp::socket::wait_read, cw_into(failure));
     co_return !failure;
 }
--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -36,13 +36,18 @@
 private:
     using stream = cw_upstream_pool::stream;
     using limits = std::chrono::milliseconds;
+    using answer_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     static constexpr limits connect_limit{300};
     /// Least time that is stated to an upstream.
     static constexpr limits least_left{1};
     /// Answers to other requests that are passed over on one connection.
     static constexpr int most_foreign = 2;
-    static constexpr std::uint64_t largest_answer = 64ULL * 1024 * 1024;
+    /// Bytes of an answer's body that are held, and of its head.
+    static constexpr std::uint64_t largest_answer = 8ULL * 1024 * 1024;
+    static constexpr std::uint32_t largest_head = 32 * 1024;
+    /// Bytes of an answer with its framing.
+    static constexpr std::uint64_t largest_transfer = largest_answer + largest_answer / 8;
     /// Part of an upstream's idle limit after which a connection is no longer used.
     static constexpr double usable_idle = 0.7;
     /// Idle limit of an upstream that states none.
@@ -65,7 +70,7 @@
         const auto at = cw_boot_clock::now();
         switch (result) {
         case cw_attempt_result::answered:
-            known.on_answer(latency, load_, at);
+            note_speed(current, known.on_answer(latency, load_, at), at);
             break;
         case cw_attempt_result::refused_busy:
             known.on_busy(load_, at);
@@ -79,6 +84,13 @@
         }
     }
 
+    /// An upstream that has just started is slow for a while, which says nothing of later.
+    void note_speed(const cw_gateway_exchange& current, double seconds, cw_boot_time at) {
+        if (current.fence != 0 && at >= current.upstream.warm_at) {
+            traffic_.note_speed(current.service, current.upstream.id, seconds);
+        }
+    }
+
     /// Ends an operation's wait: by the caller's end, by the deadline, or by itself.
     cw_attempt_result failure_of(cw_attempt_result otherwise) const {
         if (watch_.has_caller_left()) {
@@ -116,6 +128,9 @@
             co_return watch_.has_caller_left() ? cw_attempt_result::caller_left
                                                : cw_attempt_result::not_connected;
         }
+        if (watch_.look_whether_caller_left()) {
+            co_return cw_attempt_result::caller_left;
+        }
         const auto left = std::chrono::duration_cast<limits>(current.deadline - now());
         Dialect::address_to(current.request, current.upstream.id, std::max(left, least_left));
         watch_.guard(*connection, current.deadline);
@@ -135,13 +150,13 @@
     boost::asio::awaitable<cw_attempt_result> receive(cw_gateway_exchange& current,
                                                       std::unique_ptr<stream>& connection) {
         namespace http = boost::beast::http;
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer{cw_largest_read_buffer};
         for (int foreign = 0; foreign <= most_foreign; ++foreign) {
-            http::response_parser<http::string_body> parser;
+            answer_parser parser;
             parser.body_limit(largest_answer);
+            parser.header_limit(largest_head);
             parser.skip(current.request.method() == http::verb::head);
-            boost::system::error_code failure;
-            co_await http::async_read(*connection, buffer, parser, cw_into(failure));
+            const auto failure = co_await read(*connection, buffer, parser);
             if (failure) {
                 current.reason = "receive: " + failure.message();
                 co_return failure_of(cw_attempt_result::connection_lost);
@@ -157,6 +172,13 @@
                 continue;
             }
             load_ = facts.load;
+            if (facts.pause) {
+                meter(current).pause(cw_boot_clock::now() + *facts.pause);
+            }
+            if (facts.is_leaving) {
+                traffic_.note_leaving(
+                    {current.service, current.upstream.id, current.upstream.life});
+            }
             // Bytes behind the answer belong to nobody.
             if (reusable && buffer.size() == 0 && facts.what != cw_answer_facts::kind::spoilt) {
                 put_back(current, facts, std::move(connection));
@@ -167,6 +189,22 @@
         co_return cw_attempt_result::malformed;
     }
 
+    /// Reads an answer within a number of bytes, framing included: frames may come without end and
+    /// hold nothing.
+    static boost::asio::awaitable<boost::system::error_code>
+    read(stream& connection, boost::beast::flat_buffer& buffer, answer_parser& parser) {
+        namespace http = boost::beast::http;
+        boost::system::error_code failure;
+        std::uint64_t taken = 0;
+        while (!failure && !parser.is_done()) {
+            taken += co_await http::async_read_some(connection, buffer, parser, cw_into(failure));
+            if (!failure && taken > largest_transfer) {
+                failure = http::make_error_code(http::error::body_limit);
+            }
+        }
+        co_return failure;
+    }
+
     void put_back(const cw_gateway_exchange& current, const cw_answer_facts& facts,
                   std::unique_ptr<stream> connection) {
         const auto idle = facts.idle_limit.value_or(assumed_idle_limit) * usable_idle;
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -92,7 +92,7 @@
     if (failure) {
         co_return failed("send", address, failure);
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{cw_largest_read_buffer};
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_body);
     bytes_ += co_await http::async_read(connection, buffer, parser, cw_into(failure));
--- a/Source/cw_http_server.cpp
+++ b/Source/cw_http_server.cpp
@@ -46,7 +46,7 @@
 
 net::awaitable<void> cw_http_server::serve(net::ip::tcp::socket socket) {
     boost::beast::tcp_stream stream{std::move(socket)};
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{cw_largest_read_buffer};
     boost::system::error_code failure;
     while (true) {
         http::request_parser<http::string_body> parser;
--- a/Source/cw_socket_alarm.cpp
+++ b/Source/cw_socket_alarm.cpp
@@ -11,6 +11,18 @@
     bool gone_off = false;
 };
 
+namespace {
+void end(net::ip::tcp::socket& socket, cw_alarm_effect effect) {
+    boost::system::error_code ignored;
+    if (effect == cw_alarm_effect::close) {
+        socket.close(ignored);
+        return;
+    }
+    socket.shutdown(net::ip::tcp::socket::shutdown_receive, ignored);
+    socket.cancel(ignored);
+}
+} // namespace
+
 cw_socket_alarm::cw_socket_alarm(net::io_context& context)
     : state_{std::make_shared<state>()},
       timer_{context} {}
@@ -19,16 +31,16 @@
     clear();
 }
 
-void cw_socket_alarm::set(net::ip::tcp::socket& socket, cw_time_point deadline) {
+void cw_socket_alarm::set(net::ip::tcp::socket& socket, cw_time_point deadline,
+                          cw_alarm_effect effect) {
     state_->socket = &socket;
     state_->gone_off = false;
     const auto number = ++state_->number;
     timer_.expires_at(deadline);
-    timer_.async_wait([known = state_, number](const boost::system::error_code& failure) {
+    timer_.async_wait([known = state_, number, effect](const boost::system::error_code& failure) {
         if (!failure && known->number == number) {
             known->gone_off = true;
-            boost::system::error_code ignored;
-            known->socket->cancel(ignored);
+            end(*known->socket, effect);
         }
     });
 }
--- a/Source/cw_socket_alarm.h
+++ b/Source/cw_socket_alarm.h
@@ -7,7 +7,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
-/// Cancels the operations of a socket at a moment that may be moved.
+/// What an alarm does to its socket.
+enum class cw_alarm_effect {
+    /// Ends what is under way and takes no further bytes in; an answer can still be written.
+    stop_reading,
+    /// Closes it. The only way that also ends reading from a peer that sends without a pause: each
+    /// of its reads is done before the alarm could cancel it.
+    close
+};
+
+/// Ends the operations of a socket at a moment that may be moved.
 ///
 /// The alarm may end, or be set anew, while its timer's handler is already on its way.
 class cw_socket_alarm {
@@ -18,7 +27,8 @@
     cw_socket_alarm& operator=(const cw_socket_alarm&) = delete;
 
     /// Sets the alarm. The socket must live until clear() or the next set().
-    void set(boost::asio::ip::tcp::socket& socket, cw_time_point deadline);
+    void set(boost::asio::ip::tcp::socket& socket, cw_time_point deadline,
+             cw_alarm_effect effect = cw_alarm_effect::stop_reading);
     void clear();
     /// True when the alarm that was set last has gone off.
     [[nodiscard]] bool has_gone_off() const;
--- a/Tests/Routing/cw_raw_upstream.cpp
+++ b/Tests/Routing/cw_raw_upstream.cpp
@@ -50,6 +50,15 @@
     return true;
 }
 
+void cw_raw_upstream::send_endless(net::ip::tcp::socket& socket, const reply& due) {
+    boost::system::error_code failure;
+    while (!stopping_ && !failure) {
+        endless_bytes_ += net::write(socket, net::buffer(due.endless), failure);
+        std::this_thread::sleep_for(due.endless_pause);
+    }
+    endless_ended_ += failure ? 1 : 0;
+}
+
 void cw_raw_upstream::serve(net::ip::tcp::socket socket) {
     std::string pending;
     boost::system::error_code failure;
@@ -78,6 +87,10 @@
             return;
         }
         net::write(socket, net::buffer(due.bytes), failure);
+        if (!failure && !due.endless.empty()) {
+            send_endless(socket, due);
+            return;
+        }
         if (failure || due.ends) {
             return;
         }
--- a/Tests/Routing/cw_raw_upstream.h
+++ b/Tests/Routing/cw_raw_upstream.h
@@ -18,6 +18,9 @@
         std::string bytes;
         bool ends = false;
         std::chrono::milliseconds delay{0};
+        /// Sent again and again behind the bytes until the other side ends the connection.
+        std::string endless = {};
+        std::chrono::milliseconds endless_pause{0};
     };
     /// Takes the whole request as text.
     using script = std::function<reply(const std::string&)>;
@@ -28,6 +31,9 @@
     [[nodiscard]] std::string address() const;
     /// Requests that arrived.
     [[nodiscard]] std::size_t requests() const { return requests_; }
+    /// Bytes of endless answers that were taken, and such answers that the other side has ended.
+    [[nodiscard]] std::size_t endless_bytes() const { return endless_bytes_; }
+    [[nodiscard]] std::size_t endless_ended() const { return endless_ended_; }
     /// Connections that the router ended while an answer was due.
     [[nodiscard]] std::size_t cancelled() const { return cancelled_; }
 
@@ -40,6 +46,10 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     script answer_;
     std::atomic<std::size_t> requests_{0};
+    void send_endless(boost::asio::ip::tcp::socket& socket, const reply& due);
+
+    std::atomic<std::size_t> endless_bytes_{0};
+    std::atomic<std::size_t> endless_ended_{0};
     std::atomic<std::size_t> cancelled_{0};
     std::atomic<bool> stopping_{false};
     std::mutex mutex_;
