Give keys by the speed of upstreams, and heed those that leave or ask for a pause

Three things that meet in the same reports and answers.

Hosts tell the steward how long keyed requests took, without the wait for a slot; capacity is slots times speed, between 0.4 and 2 of the mean, from 12 answers on. A successor levels only when it knows speeds, or after 4 s, so a take-over undoes nothing. Answers of an upstream that is warming up do not count.

Server-Leaving: 1. The host takes it for the life's leaving, whatever its entry says, and tells the service's steward, which moves its keys.

503 with Retry-After. Nothing goes to that life for the time told; unkeyed requests go elsewhere, keyed ones are refused at once with what is left of it.

Planned stop: connections that the system had accepted when the listening socket closes are served, and so is a request that arrived when idle connections end.

Tests: speeds, planner by speed, leaving until a new life, pauses (others serve, owner refused, all paused, no time at all).

--- a/Source/cw_answer_facts.h
+++ b/Source/cw_answer_facts.h
@@ -29,4 +29,8 @@
     std::optional<cw_load_word> load;
     /// Time after which the upstream closes an idle connection.
     std::optional<std::chrono::seconds> idle_limit;
+    /// Time for which the upstream wants no request.
+    std::optional<std::chrono::milliseconds> pause;
+    /// True when the upstream says that it will end.
+    bool is_leaving = false;
 };
--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_host_report.h"
+#include "cw_leaving_note.h"
 #include "cw_site_config.h"
 #include "cw_steward_event.h"
 #include "cw_upstream_entry.h"
@@ -66,6 +67,7 @@
 struct cw_local_load {
     std::string service;
     std::vector<cw_key_count> counts;
+    std::vector<cw_speed_note> speeds;
 };
 /// Bounds of ownership from settings that have changed.
 struct cw_ownership_bounds {
@@ -77,5 +79,5 @@
 using cw_control_event =
     std::variant<cw_clock_tick, cw_config_seen, cw_upstreams_listed, cw_upstreams_changed,
                  cw_store_disturbed, cw_ownership_event, cw_steward_answer, cw_table_copy,
-                 cw_succession, cw_host_report, cw_local_load, cw_crash_note, cw_ownership_bounds,
-                 cw_stop_asked>;
+                 cw_succession, cw_host_report, cw_local_load, cw_crash_note, cw_leaving_note,
+                 cw_ownership_bounds, cw_stop_asked>;
--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -111,16 +111,20 @@
             if (failure) {
                 continue;
             }
-            socket.set_option(boost::asio::ip::tcp::no_delay{true}, failure);
-            auto session = std::make_unique<cw_gateway_session<typename Port::dialect>>(
-                traffic_, std::move(socket));
-            boost::asio::co_spawn(
-                traffic_.context(),
-                cw_gateway_session<typename Port::dialect>::run(std::move(session)),
-                boost::asio::detached);
+            serve(std::move(socket));
         }
     }
 
+    void serve(boost::asio::ip::tcp::socket socket) {
+        boost::system::error_code failure;
+        socket.set_option(boost::asio::ip::tcp::no_delay{true}, failure);
+        auto session = std::make_unique<cw_gateway_session<typename Port::dialect>>(
+            traffic_, std::move(socket));
+        boost::asio::co_spawn(traffic_.context(),
+                              cw_gateway_session<typename Port::dialect>::run(std::move(session)),
+                              boost::asio::detached);
+    }
+
     void wait_for_reload(boost::asio::signal_set& reloads) {
         reloads.async_wait([this, &reloads](const boost::system::error_code& failure, int) {
             if (!failure) {
@@ -173,7 +177,18 @@
     }
 
     void stop_accepting() {
-        acceptor_.close();
+        // Connections that the system has accepted already would be reset with what they carry.
+        boost::system::error_code failure;
+        acceptor_.cancel(failure);
+        acceptor_.non_blocking(true, failure);
+        while (!failure) {
+            boost::asio::ip::tcp::socket socket{traffic_.context()};
+            acceptor_.accept(socket, failure);
+            if (!failure) {
+                serve(std::move(socket));
+            }
+        }
+        acceptor_.close(failure);
         for (auto* socket : traffic_.idle) {
             boost::system::error_code ignored;
             socket->cancel(ignored);
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -44,6 +44,7 @@
         changed_ = false;
     }
     output.gathering_service = stewards_.empty() ? "" : stewards_.begin()->first;
+    output.leaving = std::exchange(untold_leaving_, {});
     output.readers = readers_;
     output.crashes = std::exchange(untold_crashes_, {});
     output.commands = std::exchange(commands_, {});
@@ -194,10 +195,17 @@
     }
     if (auto* steward = steward_of(event.service)) {
         steward->on_load(event.counts, now);
+        steward->on_speeds(event.speeds);
     }
     for (const auto& crash : event.crashes) {
         keep_crash(crash, now);
     }
+    for (const auto& leaving : event.leaving) {
+        if (directory_.on_leaving(leaving.id, leaving.life)) {
+            note("upstream says it leaves", leaving.id, "told by " + event.host);
+            after_upstreams(true, now);
+        }
+    }
 }
 
 bool cw_gateway_control::gathers() const {
@@ -226,6 +234,14 @@
     }
 }
 
+void cw_gateway_control::on(const cw_leaving_note& event, cw_boot_time now) {
+    if (directory_.on_leaving(event.id, event.life)) {
+        note("upstream says it leaves", event.id, event.service);
+        untold_leaving_.push_back(event);
+        after_upstreams(true, now);
+    }
+}
+
 void cw_gateway_control::on(const cw_ownership_bounds& event, cw_boot_time /*now*/) {
     options_.tenure = std::max(options_.tenure, event.tenure);
     for (auto& [service, steward] : stewards_) {
@@ -236,6 +252,7 @@
 void cw_gateway_control::on(const cw_local_load& event, cw_boot_time now) {
     if (auto* steward = steward_of(event.service)) {
         steward->on_load(event.counts, now);
+        steward->on_speeds(event.speeds);
     }
 }
 
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -23,6 +23,8 @@
     /// The service whose steward gathers crashes, and crashes to report to it.
     std::string gathering_service;
     std::vector<cw_crash_note> crashes;
+    /// Upstreams that said that they leave, to be told to their services' stewards.
+    std::vector<cw_leaving_note> leaving;
     /// Addresses of the hosts that read the store for this one, in their order.
     std::vector<std::string> readers;
 };
@@ -52,6 +54,7 @@
     void on(const cw_host_report& event, cw_boot_time now);
     void on(const cw_local_load& event, cw_boot_time now);
     void on(const cw_crash_note& event, cw_boot_time now);
+    void on(const cw_leaving_note& event, cw_boot_time now);
     void on(const cw_ownership_bounds& event, cw_boot_time now);
     void on(const cw_stop_asked& event, cw_boot_time now);
 
@@ -96,6 +99,8 @@
     std::map<std::uint64_t, std::uint32_t> told_crashes_;
     /// Crashes seen by this host that the gathering steward has not been told of.
     std::vector<cw_crash_note> untold_crashes_;
+    /// Upstreams whose leaving this host has heard of and not told the stewards.
+    std::vector<cw_leaving_note> untold_leaving_;
     bool stopping_ = false;
     bool changed_ = false;
     bool store_lost_ = false;
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -98,7 +98,8 @@
         traffic_.idle.erase(place);
         const bool late = alarm_.has_gone_off();
         alarm_.clear();
-        co_return !failure && !late;
+        // A stop ends the wait; a request that has arrived by then is served all the same.
+        co_return !late && (!failure || caller_.available(failure) != 0);
     }
 
     boost::asio::awaitable<bool> read_request(parser_type& parser, const cw_caller_limits& limits) {
@@ -330,6 +331,9 @@
                       cw_boot_clock::now());
         if (chosen == nullptr) {
             current.reason = "the service has no other upstream";
+            if (pool != current.view->upstreams.end()) {
+                come_back_after_pause(current, pool->second);
+            }
             return false;
         }
         current.upstream = *chosen;
@@ -379,11 +383,37 @@
         }
     }
 
+    /// Time for which an upstream still wants no request.
+    milliseconds pause_of(const cw_upstream_entry& upstream) {
+        const auto until = traffic_.meter(upstream).paused_until();
+        return std::chrono::ceil<milliseconds>(until - cw_boot_clock::now());
+    }
+
+    /// The soonest moment at which an upstream of the service takes requests again, if all that are
+    /// left want none for a while.
+    void come_back_after_pause(cw_gateway_exchange& current,
+                               const std::vector<cw_upstream_entry>& upstreams) {
+        auto soonest = milliseconds::max();
+        for (const auto& upstream : upstreams) {
+            if (const auto pause = pause_of(upstream); pause.count() > 0) {
+                soonest = std::min(soonest, pause);
+            }
+        }
+        if (soonest != milliseconds::max()) {
+            current.come_back = soonest;
+        }
+    }
+
     /// False when the upstream would probably not be done in time.
     ///
     /// Time is the route's target until that has passed: a queue that is longer makes every answer
     /// late and not one more of them possible.
     bool fits(cw_gateway_exchange& current) {
+        if (const auto pause = pause_of(current.upstream); pause.count() > 0) {
+            current.reason = "the upstream wants no request for a while";
+            current.come_back = pause;
+            return false;
+        }
         const auto expected = traffic_.meter(current.upstream)
                                   .expected_time(current.upstream.slots, cw_boot_clock::now());
         const auto target = current.started + current.route->target;
@@ -498,5 +528,5 @@
     cw_gateway_traffic& traffic_;
     boost::asio::ip::tcp::socket caller_;
     cw_socket_alarm alarm_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{cw_largest_read_buffer};
 };
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -59,6 +59,7 @@
             present.insert(meter_name(upstream));
         }
     }
+    // A meter of an upstream that is not listed says nothing any more, whatever it asked for.
     // A meter with requests in flight is still referred to by name.
     std::erase_if(meters_, [&](const auto& item) {
         return item.second.in_flight() == 0 && !present.contains(item.first);
@@ -130,3 +131,38 @@
     }
     return taken;
 }
+
+void cw_gateway_traffic::note_speed(const std::string& service, const std::string& upstream,
+                                    double seconds) {
+    const std::scoped_lock lock{counts_mutex_};
+    auto& note = speeds_[service][upstream];
+    ++note.answers;
+    note.seconds += seconds;
+}
+
+std::map<std::string, std::vector<cw_speed_note>> cw_gateway_traffic::take_speeds() {
+    std::map<std::string, std::vector<cw_speed_note>> taken;
+    const std::scoped_lock lock{counts_mutex_};
+    for (auto& [service, notes] : speeds_) {
+        auto& list = taken[service];
+        list.reserve(notes.size());
+        for (auto& [id, note] : notes) {
+            note.id = id;
+            list.push_back(std::move(note));
+        }
+        notes.clear();
+    }
+    return taken;
+}
+
+void cw_gateway_traffic::note_leaving(const cw_leaving_note& note) {
+    const auto pool = view_->upstreams.find(note.service);
+    const bool is_listed =
+        pool != view_->upstreams.end() &&
+        std::any_of(pool->second.begin(), pool->second.end(), [&](const auto& entry) {
+            return entry.id == note.id && entry.life == note.life;
+        });
+    if (is_listed && report_leaving_) {
+        report_leaving_(note);
+    }
+}
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -4,17 +4,20 @@
 #include "cw_gateway_metrics.h"
 #include "cw_gateway_view.h"
 #include "cw_key_load.h"
+#include "cw_leaving_note.h"
 #include "cw_log.h"
 #include "cw_retry_budget.h"
 #include "cw_time.h"
 #include "cw_upstream_meter.h"
 #include "cw_upstream_pool.h"
+#include "cw_upstream_speeds.h"
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -64,6 +67,17 @@
     /// Requests per key since the last call, by service. Safe to call from any thread.
     [[nodiscard]] std::map<std::string, std::vector<cw_key_count>> take_counts();
 
+    /// Called with upstreams that say in an answer that they leave, from the traffic thread.
+    void set_leaving_reporter(std::function<void(const cw_leaving_note&)> report) {
+        report_leaving_ = std::move(report);
+    }
+    /// An upstream said that it leaves; told once for each view.
+    void note_leaving(const cw_leaving_note& note);
+    /// Takes the time that an upstream worked on a request for a key.
+    void note_speed(const std::string& service, const std::string& upstream, double seconds);
+    /// Speeds noted since the last call, by service. Safe to call from any thread.
+    [[nodiscard]] std::map<std::string, std::vector<cw_speed_note>> take_speeds();
+
     /// Requests in hand. Other threads may read it.
     std::atomic<std::uint64_t> open_requests{0};
     /// Connections that wait for their next request.
@@ -88,6 +102,9 @@
     /// Running balances of the parts of each route, by route and service.
     std::map<std::string, std::map<std::string, double>> balances_;
     std::mt19937_64 engine_;
+    std::function<void(const cw_leaving_note&)> report_leaving_;
     std::mutex counts_mutex_;
     std::map<std::string, std::unordered_map<std::uint32_t, std::uint32_t>> counts_;
+    /// By service and upstream.
+    std::map<std::string, std::unordered_map<std::string, cw_speed_note>> speeds_;
 };
--- a/Source/cw_host_exchange.cpp
+++ b/Source/cw_host_exchange.cpp
@@ -45,6 +45,18 @@
             cw_query_number(target, "digest", 0)};
 }
 
+/// Adds what traffic has noted of all services to what is kept, and takes one service's part.
+template <typename Note>
+std::vector<Note> take_from(std::map<std::string, std::vector<Note>>& kept,
+                            std::map<std::string, std::vector<Note>> noted,
+                            const std::string& service) {
+    for (auto& [name, list] : noted) {
+        auto& place = kept[name];
+        place.insert(place.end(), list.begin(), list.end());
+    }
+    return std::exchange(kept[service], {});
+}
+
 } // namespace
 
 cw_host_exchange::cw_host_exchange(boost::asio::io_context& context,
@@ -90,6 +102,12 @@
     untold_crashes_.insert(untold_crashes_.end(), crashes.begin(), crashes.end());
 }
 
+void cw_host_exchange::on_leaving(const std::vector<cw_leaving_note>& notes) {
+    for (const auto& note : notes) {
+        leaving_[note.service].push_back(note);
+    }
+}
+
 void cw_host_exchange::tell(const cw_tell_predecessor& command) {
     spawn(tell_predecessor(command));
 }
@@ -104,7 +122,7 @@
     while (true) {
         const auto steward = stewards_[service];
         if (steward == self_ || steward.host.empty()) {
-            deliver_(cw_local_load{service, take_counts(service)});
+            deliver_(cw_local_load{service, take_counts(service), take_speeds(service)});
             co_await cw_pause(context_, report_interval);
             continue;
         }
@@ -125,6 +143,8 @@
     report.incarnation = self_.incarnation;
     report.place = {options_.domain, self_.address, options_.strength()};
     report.counts = take_counts(service);
+    report.speeds = take_speeds(service);
+    report.leaving = std::exchange(leaving_[service], {});
     if (service == gathering_service_) {
         report.crashes = std::exchange(untold_crashes_, {});
     }
@@ -136,6 +156,7 @@
         co_return;
     }
     untold_crashes_.insert(untold_crashes_.end(), report.crashes.begin(), report.crashes.end());
+    on_leaving(report.leaving);
     const bool refused = !answer && cw_is_refused(answer.error());
     deliver_(cw_ownership_event{service, refused ? cw_contact::refused : cw_contact::silent});
     co_await cw_pause(context_, report_grace);
@@ -274,9 +295,9 @@
 }
 
 std::vector<cw_key_count> cw_host_exchange::take_counts(const std::string& service) {
-    for (auto& [name, list] : traffic_.take_counts()) {
-        auto& kept = counts_[name];
-        kept.insert(kept.end(), list.begin(), list.end());
-    }
-    return std::exchange(counts_[service], {});
+    return take_from(counts_, traffic_.take_counts(), service);
+}
+
+std::vector<cw_speed_note> cw_host_exchange::take_speeds(const std::string& service) {
+    return take_from(speeds_, traffic_.take_speeds(), service);
 }
--- a/Source/cw_host_exchange.h
+++ b/Source/cw_host_exchange.h
@@ -43,6 +43,8 @@
     /// Keeps crashes for the next report to the steward of the service that gathers them.
     void on_crashes(const std::string& gathering_service,
                     const std::vector<cw_crash_note>& crashes);
+    /// Keeps upstreams that leave for the next report to their service's steward.
+    void on_leaving(const std::vector<cw_leaving_note>& notes);
     /// Tells an earlier steward that it has been succeeded.
     void tell(const cw_tell_predecessor& command);
 
@@ -82,6 +84,8 @@
     [[nodiscard]] bool seeks(const std::string& service) const;
     /// Takes the requests for the service's keys that traffic has counted since the last call.
     std::vector<cw_key_count> take_counts(const std::string& service);
+    /// Takes the speeds of the service's upstreams in the same way.
+    std::vector<cw_speed_note> take_speeds(const std::string& service);
 
     boost::asio::io_context& context_;
     const cw_gateway_options& options_;
@@ -95,6 +99,8 @@
     std::map<std::string, cw_table_news> news_;
     std::map<std::string, cw_steward_id> stewards_;
     std::map<std::string, std::vector<cw_key_count>> counts_;
+    std::map<std::string, std::vector<cw_speed_note>> speeds_;
+    std::map<std::string, std::vector<cw_leaving_note>> leaving_;
     std::string gathering_service_;
     std::vector<cw_crash_note> untold_crashes_;
     /// Told of each new view; answers to other hosts wait for it.
--- a/Source/cw_host_report.cpp
+++ b/Source/cw_host_report.cpp
@@ -7,6 +7,14 @@
     for (const auto& entry : counts) {
         list.push_back({entry.key, entry.count});
     }
+    auto speed_list = nlohmann::json::array();
+    for (const auto& note : speeds) {
+        speed_list.push_back({note.id, note.answers, note.seconds});
+    }
+    auto leaving_list = nlohmann::json::array();
+    for (const auto& note : leaving) {
+        leaving_list.push_back({note.id, note.life});
+    }
     auto notes = nlohmann::json::array();
     for (const auto& note : crashes) {
         notes.push_back({note.fingerprint, note.address, note.answered});
@@ -18,6 +26,8 @@
                           {"address", place.address},
                           {"strength", place.strength},
                           {"counts", list},
+                          {"speeds", speed_list},
+                          {"leaving", leaving_list},
                           {"crashes", notes}}
         .dump();
 }
@@ -37,6 +47,14 @@
             report.counts.push_back(
                 {item.at(0).get<std::uint32_t>(), item.at(1).get<std::uint32_t>()});
         }
+        for (const auto& item : value.value("speeds", nlohmann::json::array())) {
+            report.speeds.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>(),
+                                     item.at(2).get<double>()});
+        }
+        for (const auto& item : value.value("leaving", nlohmann::json::array())) {
+            report.leaving.push_back(
+                {report.service, item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>()});
+        }
         for (const auto& item : value.value("crashes", nlohmann::json::array())) {
             report.crashes.push_back({item.at(0).get<std::uint64_t>(),
                                       item.at(1).get<std::string>(), item.at(2).get<bool>()});
--- a/Source/cw_host_report.h
+++ b/Source/cw_host_report.h
@@ -3,6 +3,8 @@
 #include "cw_error.h"
 #include "cw_host_place.h"
 #include "cw_key_load.h"
+#include "cw_leaving_note.h"
+#include "cw_upstream_speeds.h"
 
 #include <cstdint>
 #include <string>
@@ -24,6 +26,9 @@
     std::uint64_t incarnation = 0;
     cw_host_place place;
     std::vector<cw_key_count> counts;
+    std::vector<cw_speed_note> speeds;
+    /// Upstreams of the service that said that they leave.
+    std::vector<cw_leaving_note> leaving;
     /// Since the last report; only in reports to the steward that gathers them.
     std::vector<cw_crash_note> crashes;
 
--- a/Source/cw_key_balance.cpp
+++ b/Source/cw_key_balance.cpp
@@ -63,8 +63,8 @@
 
 std::vector<cw_key_move> cw_key_balance::plan(cw_key_table& table,
                                               const std::vector<cw_key_candidate>& candidates,
-                                              cw_boot_time now) {
-    const bool balances = now >= next_balance_;
+                                              bool may_level, cw_boot_time now) {
+    const bool balances = may_level && now >= next_balance_;
     auto options = options_.plan;
     if (balances) {
         next_balance_ = now + options_.balance;
--- a/Source/cw_key_balance.h
+++ b/Source/cw_key_balance.h
@@ -26,8 +26,9 @@
     [[nodiscard]] bool is_resting(const std::string& id, cw_boot_time now) const;
     /// The moves that should be made now. Neighbouring ranges of the table are joined when there
     /// are too many.
-    [[nodiscard]] std::vector<cw_key_move>
-    plan(cw_key_table& table, const std::vector<cw_key_candidate>& candidates, cw_boot_time now);
+    [[nodiscard]] std::vector<cw_key_move> plan(cw_key_table& table,
+                                                const std::vector<cw_key_candidate>& candidates,
+                                                bool may_level, cw_boot_time now);
 
 private:
     cw_steward_options options_;
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -71,6 +71,7 @@
             upstreams_.emplace(id, entry);
         }
     }
+    speeds_.keep(upstreams_);
     if (upstreams_.size() > most_upstreams_) {
         most_upstreams_ = upstreams_.size();
         upstreams_grew_ = now;
@@ -81,6 +82,12 @@
     balance_.on_load(counts, now);
 }
 
+void cw_steward::on_speeds(const std::vector<cw_speed_note>& notes) {
+    for (const auto& note : notes) {
+        speeds_.on_note(note);
+    }
+}
+
 void cw_steward::on_copy(const cw_key_table& table, cw_boot_time now) {
     // A steward learns of a successor from the store only, which also tells it the revision.
     if (table.is_after(table_) && !is_steward()) {
@@ -198,6 +205,7 @@
         const auto wait = predecessors_.begin(table_.predecessors, options_, now);
         orders_.forget_upstreams();
         balance_.begin(now);
+        leads_since_ = now;
         note("steward takes over", self_.host,
              "term " + std::to_string(table_.term) + ", earlier grants end within " +
                  std::to_string(wait.count()) + " ms");
@@ -510,12 +518,13 @@
     }
     // When most are silent, this host is more likely to be cut off than all of them to be lost.
     const bool trust_silence = silent * 2 <= upstreams_.size();
+    const double mean_speed = speeds_.mean_speed();
     for (const auto& [id, entry] : upstreams_) {
         const cw_key_owner owner{id, entry.life, entry.address};
         if (entry.leaving || has_ended(owner) || (trust_silence && orders_.is_silent(id, now))) {
             continue;
         }
-        list.push_back({owner, static_cast<double>(entry.slots), now >= entry.warm_at,
+        list.push_back({owner, entry.slots * speeds_.factor(id, mean_speed), now >= entry.warm_at,
                         balance_.is_resting(id, now)});
     }
     return list;
@@ -544,7 +553,10 @@
     }
     auto next = table_;
     raise_fence(next);
-    const auto moves = balance_.plan(next, list, now);
+    // A successor knows no speeds yet; levelling without them would undo what was levelled by them.
+    const bool knows_speeds =
+        speeds_.covers(list.size()) || now > leads_since_ + options_.speed_patience;
+    const auto moves = balance_.plan(next, list, knows_speeds, now);
     for (const auto& move : moves) {
         note("keys move", move.to.id,
              span_of(move.first, move.last) + " from " + next.range_of(move.first).owner.id);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -9,6 +9,7 @@
 #include "cw_steward_suspicion.h"
 #include "cw_timeline_event.h"
 #include "cw_upstream_entry.h"
+#include "cw_upstream_speeds.h"
 
 #include <cstdint>
 #include <map>
@@ -45,6 +46,7 @@
     /// A process of the given host reported; an earlier one of the same host has ended.
     void on_member(const std::string& host, std::uint64_t incarnation, cw_boot_time now);
     void on_load(const std::vector<cw_key_count>& counts, cw_boot_time now);
+    void on_speeds(const std::vector<cw_speed_note>& notes);
     /// The bound comes from settings that may change.
     void set_tenure(std::chrono::milliseconds tenure);
     /// True for one of the strong hosts that watch a silent steward and succeed it; the others
@@ -158,5 +160,8 @@
     std::uint64_t beat_ = 0;
 
     cw_key_balance balance_;
+    cw_upstream_speeds speeds_;
+    /// When this host took over.
+    cw_boot_time leads_since_{};
     std::vector<cw_timeline_event> events_;
 };
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -46,6 +46,8 @@
     std::chrono::milliseconds reclaim{3'000};
     /// Interval between two plans for balance.
     std::chrono::milliseconds balance{500};
+    /// Time from taking over after which loads are levelled although speeds are not known.
+    std::chrono::milliseconds speed_patience{4'000};
     /// Time for which an upstream that took part in a move is left alone by the balance.
     std::chrono::milliseconds rest{1'500};
     /// Time after the last new upstream before keys are first given out.
--- a/Source/cw_upstream_directory.cpp
+++ b/Source/cw_upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "cw_upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 
 bool cw_upstream_directory::on_list(const std::vector<cw_upstream_entry>& entries,
@@ -32,7 +33,20 @@
     auto before = known;
     before.warm_at = entry.warm_at;
     known = entry;
-    return before != entry;
+    const auto said = leaving_.find(entry.id);
+    known.leaving = known.leaving || (said != leaving_.end() && said->second >= entry.life);
+    return before != known;
+}
+
+bool cw_upstream_directory::on_leaving(const std::string& id, std::uint64_t life) {
+    auto& said = leaving_[id];
+    said = std::max(said, life);
+    const auto known = entries_.find(id);
+    if (known == entries_.end() || known->second.life > life || known->second.leaving) {
+        return false;
+    }
+    known->second.leaving = true;
+    return true;
 }
 
 bool cw_upstream_directory::on_removed(const std::string& id, cw_boot_time now) {
@@ -44,6 +58,7 @@
         return false;
     }
     missing_.erase(id);
+    leaving_.erase(id);
     return entries_.erase(id) != 0;
 }
 
--- a/Source/cw_upstream_directory.h
+++ b/Source/cw_upstream_directory.h
@@ -25,6 +25,9 @@
     bool on_entry(const cw_upstream_entry& entry);
     /// An entry was removed, or can no longer be read.
     bool on_removed(const std::string& id, cw_boot_time now);
+    /// An upstream said in an answer that it leaves. That holds for its life, whatever its entry
+    /// says. True when anything changed.
+    bool on_leaving(const std::string& id, std::uint64_t life);
     /// The store did not answer; entries that are missing from now on prove nothing for a while.
     void on_disturbance(cw_boot_time now);
     /// Carries out removals that have waited long enough. True when anything changed.
@@ -42,4 +45,6 @@
     /// Removals in doubt, with the moment at which they take effect.
     std::map<std::string, cw_boot_time> missing_;
     cw_boot_time trusted_from_{};
+    /// Lives that said they leave, by id.
+    std::map<std::string, std::uint64_t> leaving_;
 };
--- a/Source/cw_upstream_meter.cpp
+++ b/Source/cw_upstream_meter.cpp
@@ -30,8 +30,8 @@
     }
 }
 
-void cw_upstream_meter::on_answer(std::chrono::nanoseconds latency,
-                                  std::optional<cw_load_word> load, cw_boot_time now) {
+double cw_upstream_meter::on_answer(std::chrono::nanoseconds latency,
+                                    std::optional<cw_load_word> load, cw_boot_time now) {
     --in_flight_;
     failures_ = 0;
     avoided_until_ = {};
@@ -46,6 +46,7 @@
     service_seconds_ = service_seconds_ == 0.0
                            ? seconds
                            : service_seconds_ + service_weight * (seconds - service_seconds_);
+    return seconds;
 }
 
 void cw_upstream_meter::on_busy(std::optional<cw_load_word> load, cw_boot_time now) {
--- a/Source/cw_upstream_meter.h
+++ b/Source/cw_upstream_meter.h
@@ -3,6 +3,7 @@
 #include "cw_answer_facts.h"
 #include "cw_boot_clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -14,9 +15,10 @@
 class cw_upstream_meter {
 public:
     void on_sent() { ++in_flight_; }
-    /// The upstream ran a request. `latency` is the time from sending to the whole answer.
-    void on_answer(std::chrono::nanoseconds latency, std::optional<cw_load_word> load,
-                   cw_boot_time now);
+    /// The upstream ran a request. `latency` is the time from sending to the whole answer. Returns
+    /// the seconds of work that it stands for, without the wait for a slot.
+    double on_answer(std::chrono::nanoseconds latency, std::optional<cw_load_word> load,
+                     cw_boot_time now);
     /// It had no room for a request.
     void on_busy(std::optional<cw_load_word> load, cw_boot_time now);
     /// It did not answer as it should.
@@ -33,6 +35,10 @@
     [[nodiscard]] std::chrono::nanoseconds service_time() const;
     /// True while it should be passed over when there are others.
     [[nodiscard]] bool is_avoided(cw_boot_time now) const { return now < avoided_until_; }
+    /// It wants no request until then.
+    void pause(cw_boot_time until) { paused_until_ = std::max(paused_until_, until); }
+    /// End of the pause that it asked for; a past time when there is none.
+    [[nodiscard]] cw_boot_time paused_until() const { return paused_until_; }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
 
 private:
@@ -45,4 +51,5 @@
     double service_seconds_ = 0.0;
     std::uint32_t failures_ = 0;
     cw_boot_time avoided_until_{};
+    cw_boot_time paused_until_{};
 };
--- a/Source/cw_upstream_picker.cpp
+++ b/Source/cw_upstream_picker.cpp
@@ -44,6 +44,9 @@
             continue;
         }
         const auto& meter = meter_of(upstream);
+        if (now < meter.paused_until()) {
+            continue;
+        }
         double seconds =
             std::chrono::duration<double>(meter.expected_time(upstream.slots, now)).count();
         seconds *= now < upstream.warm_at ? cold_factor : 1.0;
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -5,6 +5,7 @@
 #include "cw_upstream_directory.h"
 #include "cw_upstream_meter.h"
 #include "cw_upstream_picker.h"
+#include "cw_upstream_speeds.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -302,3 +303,75 @@
     CHECK(read->stop_grace == 6'500ms);
     CHECK(read->ownership.lease == 400ms);
 }
+
+TEST_CASE("upstream_that_said_it_leaves_stays_leaving_until_a_new_life") {
+    cw_upstream_directory directory{2'500ms};
+    directory.on_list({entry("u", 3)}, start);
+    CHECK(directory.on_leaving("u", 3));
+    CHECK_FALSE(directory.on_leaving("u", 3));
+    CHECK_FALSE(directory.on_entry(entry("u", 3)));
+    CHECK(directory.find("u")->leaving);
+    CHECK(directory.on_entry(entry("u", 4)));
+    CHECK_FALSE(directory.find("u")->leaving);
+    CHECK_FALSE(directory.on_leaving("u", 3));
+    CHECK_FALSE(directory.find("u")->leaving);
+}
+
+TEST_CASE("upstream_that_said_it_leaves_before_its_entry_is_known_is_leaving") {
+    cw_upstream_directory directory{2'500ms};
+    CHECK_FALSE(directory.on_leaving("u", 3));
+    directory.on_entry(entry("u", 3));
+    CHECK(directory.find("u")->leaving);
+}
+
+TEST_CASE("speeds_of_upstreams_are_told_apart_once_enough_answers_were_seen") {
+    cw_upstream_speeds speeds;
+    speeds.on_note({"slow", 8, 8 * 0.4});
+    CHECK(speeds.factor("slow", speeds.mean_speed()) == doctest::Approx(1.0));
+    speeds.on_note({"slow", 40, 40 * 0.4});
+    speeds.on_note({"fast", 40, 40 * 0.2});
+    const auto mean = speeds.mean_speed();
+    CHECK(mean == doctest::Approx(3.75));
+    CHECK(speeds.factor("slow", mean) == doctest::Approx(2.5 / 3.75));
+    CHECK(speeds.factor("fast", mean) == doctest::Approx(5.0 / 3.75));
+    CHECK(speeds.covers(2));
+    CHECK_FALSE(speeds.covers(4));
+    speeds.keep(std::map<std::string, int>{{"fast", 1}});
+    CHECK(speeds.factor("slow", speeds.mean_speed()) == doctest::Approx(1.0));
+}
+
+TEST_CASE("speed_that_changes_is_followed_and_nonsense_ignored") {
+    cw_upstream_speeds speeds;
+    speeds.on_note({"a", 200, 200 * 0.2});
+    speeds.on_note({"b", 200, 200 * 0.2});
+    for (int i = 0; i < 10; ++i) {
+        speeds.on_note({"b", 100, 100 * 0.8});
+        speeds.on_note({"a", 0, 5.0});
+        speeds.on_note({"a", 50, -1.0});
+    }
+    CHECK(speeds.factor("b", speeds.mean_speed()) < 0.5);
+    CHECK(speeds.factor("a", speeds.mean_speed()) > 1.4);
+}
+
+TEST_CASE("keys_of_a_service_with_slow_upstreams_are_levelled_by_speed") {
+    // Three upstreams, one of 0.6 of the others' speed, with even traffic over all keys.
+    const cw_key_plan_options options;
+    cw_key_table table;
+    table.apply({{0, 21'844, {"u0", 1, "10.0.0.1:1"}},
+                 {21'845, 43'689, {"u1", 1, "10.0.0.1:1"}},
+                 {43'690, cw_last_key, {"u2", 1, "10.0.0.1:1"}}});
+    for (auto& range : table.ranges) {
+        range.before.clear();
+    }
+    std::vector<double> sums;
+    for (std::uint32_t key = 0; key <= cw_last_key + 1; ++key) {
+        sums.push_back(900.0 * key / (cw_last_key + 1));
+    }
+    const std::vector<cw_key_candidate> list{candidate("u0", 3.0 * 0.6), candidate("u1"),
+                                             candidate("u2")};
+    const auto moves = cw_plan_key_moves(table, list, sums, 900.0, options);
+    REQUIRE_FALSE(moves.empty());
+    for (const auto& move : moves) {
+        CHECK(table.range_of(move.first).owner.id == "u0");
+    }
+}
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -269,3 +269,67 @@
     }
     CHECK(gateway.upstream(3).requests() == 4);
 }
+
+TEST_CASE("upstream_that_asks_for_a_pause_is_left_alone_and_others_serve") {
+    cw_gateway_call gateway{{always("503 Full", not_run + "Retry-After: 0.4\r\n", "wait"), fine()}};
+    for (int i = 0; i < 12; ++i) {
+        CHECK(cw_status_of(gateway.call("GET", "/safe/a", named)) == 200);
+    }
+    CHECK(gateway.upstream(0).requests() <= 1);
+}
+
+TEST_CASE("owner_that_asks_for_a_pause_has_its_requests_refused_with_the_time_that_is_left") {
+    cw_gateway_call gateway{{always("503 Full", not_run + "Retry-After: 0.6\r\n", "wait")}};
+    const std::string fields = named + "X-Cuminwinch-Shard-Key: 7\r\n";
+    check_refused(gateway.call("GET", "/key/a", fields));
+    for (int i = 0; i < 5; ++i) {
+        const auto seen = gateway.call("GET", "/key/a", fields);
+        check_refused(seen);
+        CHECK(std::stod(cw_field_of(seen, "Retry-After")) > 0.2);
+        CHECK(std::stod(cw_field_of(seen, "Retry-After")) <= 1.0);
+    }
+    CHECK(gateway.upstream(0).requests() == 1);
+    std::this_thread::sleep_for(700ms);
+    check_refused(gateway.call("GET", "/key/a", fields));
+    CHECK(gateway.upstream(0).requests() == 2);
+}
+
+TEST_CASE("service_whose_upstreams_all_asked_for_a_pause_is_refused_at_once") {
+    cw_gateway_call gateway{{always("503 Full", not_run + "Retry-After: 0.7\r\n", "wait")}};
+    check_refused(gateway.call("POST", "/order/a", named, "x"));
+    const auto begin = std::chrono::steady_clock::now();
+    const auto seen = gateway.call("POST", "/order/a", named, "x");
+    check_refused(seen);
+    CHECK(std::stod(cw_field_of(seen, "Retry-After")) > 0.3);
+    CHECK(std::chrono::steady_clock::now() - begin < 200ms);
+    CHECK(gateway.upstream(0).requests() == 1);
+}
+
+TEST_CASE("retry_after_that_is_no_time_asks_for_no_pause") {
+    for (const auto* value : {"soon", "-1", "0", "1e999", ""}) {
+        CAPTURE(value);
+        cw_gateway_call gateway{
+            {always("503 Full", not_run + "Retry-After: " + value + "\r\n", "wait")}};
+        check_refused(gateway.call("POST", "/order/a", named, "x"));
+        std::this_thread::sleep_for(80ms);
+        check_refused(gateway.call("POST", "/order/a", named, "x"));
+        CHECK(gateway.upstream(0).requests() == 2);
+    }
+}
+
+TEST_CASE("upstream_that_says_it_leaves_is_reported_once_with_its_life") {
+    cw_gateway_call gateway{{always("200 OK", signature + "Server-Leaving: 1\r\n", "bye")}};
+    CHECK(body_of(gateway.call("GET", "/safe/a", named)) == "bye");
+    REQUIRE(gateway.leaving().size() == 1);
+    CHECK(gateway.leaving().front() == cw_leaving_note{"safe", "u0", 1});
+}
+
+TEST_CASE("caller_that_left_before_its_request_was_read_has_nothing_sent") {
+    cw_gateway_call gateway{{fine()}};
+    gateway.hold_up(150ms);
+    static_cast<void>(
+        cw_send_raw(gateway.port(),
+                    {"GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + named + "\r\n"}, 0ms, 0ms));
+    std::this_thread::sleep_for(400ms);
+    CHECK(gateway.upstream(0).requests() == 0);
+}
--- a/Tests/Gateway/cw_gateway_call.cpp
+++ b/Tests/Gateway/cw_gateway_call.cpp
@@ -51,6 +51,10 @@
     for (auto& script : upstreams) {
         upstreams_.push_back(std::make_unique<cw_raw_upstream>(std::move(script)));
     }
+    traffic_.set_leaving_reporter([this](const cw_leaving_note& note) {
+        const std::scoped_lock lock{leaving_mutex_};
+        leaving_.push_back(note);
+    });
     view_ = make_view();
     give_keys(0, false);
     net::co_spawn(traffic_.context(), accept(), net::detached);
@@ -114,6 +118,15 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_call::hold_up(std::chrono::milliseconds length) {
+    net::post(traffic_.context(), [length] { std::this_thread::sleep_for(length); });
+}
+
+std::vector<cw_leaving_note> cw_gateway_call::leaving() {
+    const std::scoped_lock lock{leaving_mutex_};
+    return leaving_;
+}
+
 void cw_gateway_call::forget_config() {
     traffic_.publish(std::make_shared<const cw_gateway_view>());
 }
--- a/Tests/Gateway/cw_gateway_call.h
+++ b/Tests/Gateway/cw_gateway_call.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,6 +31,10 @@
     void lose(std::size_t place);
     /// Takes the configuration away, as before the first read.
     void forget_config();
+    /// Lets the thread for traffic do nothing for a while, as on a machine that is behind.
+    void hold_up(std::chrono::milliseconds length);
+    /// Upstreams that were reported to be leaving.
+    [[nodiscard]] std::vector<cw_leaving_note> leaving();
     /// Sends one request with the header fields given and returns everything that comes back.
     [[nodiscard]] std::string call(const std::string& method, const std::string& path,
                                    const std::string& fields, const std::string& body = {});
@@ -46,6 +51,8 @@
     std::uint16_t port_ = 0;
     std::uint64_t edition_ = 1;
     std::shared_ptr<cw_gateway_view> view_;
+    std::mutex leaving_mutex_;
+    std::vector<cw_leaving_note> leaving_;
     std::jthread thread_;
 };
 
