Spare followers the work that only a steward needs at each change of a table

Ruled out: the reader (other hosts of the domain acted in time), the store.

Change: a host that is not the steward keeps no knowledge of ranges; a steward looks only at the ranges that overlap; views share lists of upstreams and tables that have not changed, and traffic looks through its meters only when the list is another. A host that comes into office again still waits for the end of all that was granted before, its own earlier grants included.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -122,6 +122,7 @@
         return;
     }
     changed_ = true;
+    lists_ = nullptr;
     for (auto& [service, steward] : stewards_) {
         steward->on_upstreams(directory_.entries(), now);
         steward->on_tick(now, commands_);
@@ -326,19 +327,39 @@
     }
 }
 
+bool cw_gateway_control::table_changed(const std::string& service,
+                                       const cw_steward& steward) const {
+    if (view_ == nullptr) {
+        return true;
+    }
+    const auto& table = steward.table();
+    const auto known = view_->tables.find(service);
+    return known == view_->tables.end() || known->second->term != table.term ||
+           known->second->edition != table.edition;
+}
+
 bool cw_gateway_control::tables_changed() const {
-    return std::any_of(stewards_.begin(), stewards_.end(), [&](const auto& item) {
-        const auto& table = item.second->table();
-        if (view_ == nullptr) {
-            return true;
+    return std::any_of(stewards_.begin(), stewards_.end(),
+                       [&](const auto& item) { return table_changed(item.first, *item.second); });
+}
+
+std::shared_ptr<const cw_key_table>
+cw_gateway_control::shared_table(const std::string& service, const cw_steward& steward) const {
+    return table_changed(service, steward) ? std::make_shared<const cw_key_table>(steward.table())
+                                           : view_->tables.at(service);
+}
+
+std::shared_ptr<const cw_upstream_lists> cw_gateway_control::make_lists() const {
+    auto lists = std::make_shared<cw_upstream_lists>();
+    for (const auto& [id, entry] : directory_.entries()) {
+        if (!entry.leaving) {
+            (*lists)[entry.service].push_back(entry);
         }
-        const auto known = view_->tables.find(item.first);
-        return known == view_->tables.end() || known->second->term != table.term ||
-               known->second->edition != table.edition;
-    });
+    }
+    return lists;
 }
 
-std::shared_ptr<const cw_gateway_view> cw_gateway_control::make_view() const {
+std::shared_ptr<const cw_gateway_view> cw_gateway_control::make_view() {
     auto view = std::make_shared<cw_gateway_view>();
     view->config = config_;
     view->hosts = hosts_;
@@ -346,13 +367,12 @@
     view->seeking = seeking_;
     view->readers = reader_orders_;
     view->crashes = gathers() ? ledger_.all() : told_crashes_;
-    for (const auto& [id, entry] : directory_.entries()) {
-        if (!entry.leaving) {
-            view->upstreams[entry.service].push_back(entry);
-        }
+    if (lists_ == nullptr) {
+        lists_ = make_lists();
     }
+    view->upstreams = lists_;
     for (const auto& [service, steward] : stewards_) {
-        view->tables.emplace(service, std::make_shared<const cw_key_table>(steward->table()));
+        view->tables.emplace(service, shared_table(service, *steward));
     }
     return view;
 }
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -71,8 +71,14 @@
     [[nodiscard]] bool is_reader() const;
     void take_readers(const std::vector<std::string>& readers);
     void note(std::string what, std::string subject, std::string detail);
-    [[nodiscard]] std::shared_ptr<const cw_gateway_view> make_view() const;
+    [[nodiscard]] std::shared_ptr<const cw_gateway_view> make_view();
+    [[nodiscard]] std::shared_ptr<const cw_upstream_lists> make_lists() const;
+    /// The table as the last view shows it, or a new copy when it has changed.
+    [[nodiscard]] std::shared_ptr<const cw_key_table> shared_table(const std::string& service,
+                                                                   const cw_steward& steward) const;
     [[nodiscard]] bool tables_changed() const;
+    /// True when the last view shows another table of the service.
+    [[nodiscard]] bool table_changed(const std::string& service, const cw_steward& steward) const;
     cw_steward* steward_of(const std::string& service);
 
     cw_steward_id self_;
@@ -107,6 +113,8 @@
     /// Services whose steward this host is without an answer from the store.
     std::set<std::string> seeking_;
     std::shared_ptr<const cw_gateway_view> view_;
+    /// The upstreams as the next view shows them; null when they have changed since the last.
+    std::shared_ptr<const cw_upstream_lists> lists_;
     std::vector<cw_steward_command> commands_;
     std::vector<cw_timeline_event> events_;
 };
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -319,11 +319,11 @@
     }
 
     bool pick(cw_gateway_exchange& current) {
-        const auto pool = current.view->upstreams.find(current.service);
+        const auto pool = current.view->upstreams->find(current.service);
         const cw_pick_wish wish{traffic_.domain(), current.route->target * good_part / whole_part,
                                 &current.tried, traffic_.draw()};
         const auto* chosen =
-            pool == current.view->upstreams.end()
+            pool == current.view->upstreams->end()
                 ? nullptr
                 : cw_pick_upstream(
                       pool->second, wish,
@@ -331,7 +331,7 @@
                       cw_boot_clock::now());
         if (chosen == nullptr) {
             current.reason = "the service has no other upstream";
-            if (pool != current.view->upstreams.end()) {
+            if (pool != current.view->upstreams->end()) {
                 come_back_after_pause(current, pool->second);
             }
             return false;
@@ -349,8 +349,8 @@
         }
         const auto& range = table->second->range_of(*current.facts.key);
         const bool refused = current.refused_fence != 0 && current.refused_fence == range.fence;
-        const auto pool = current.view->upstreams.find(current.service);
-        if (range.is_moving() || refused || pool == current.view->upstreams.end()) {
+        const auto pool = current.view->upstreams->find(current.service);
+        if (range.is_moving() || refused || pool == current.view->upstreams->end()) {
             return nullptr;
         }
         const auto found =
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -53,8 +53,11 @@
         budget_hosts_ = view.hosts;
         budgets_.clear();
     }
+    if (view.upstreams == view_->upstreams) {
+        return;
+    }
     std::set<std::string> present;
-    for (const auto& [service, upstreams] : view.upstreams) {
+    for (const auto& [service, upstreams] : *view.upstreams) {
         for (const auto& upstream : upstreams) {
             present.insert(meter_name(upstream));
         }
@@ -156,9 +159,9 @@
 }
 
 void cw_gateway_traffic::note_leaving(const cw_leaving_note& note) {
-    const auto pool = view_->upstreams.find(note.service);
+    const auto pool = view_->upstreams->find(note.service);
     const bool is_listed =
-        pool != view_->upstreams.end() &&
+        pool != view_->upstreams->end() &&
         std::any_of(pool->second.begin(), pool->second.end(), [&](const auto& entry) {
             return entry.id == note.id && entry.life == note.life;
         });
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -12,12 +12,16 @@
 #include <string>
 #include <vector>
 
+/// Upstreams by service.
+using cw_upstream_lists = std::map<std::string, std::vector<cw_upstream_entry>>;
+
 /// What traffic works by, as the control state knew it at one moment. Never changed in place.
 struct cw_gateway_view {
     /// Null until a configuration is known.
     std::shared_ptr<const cw_site_config> config;
-    /// Upstreams that are not leaving, by service.
-    std::map<std::string, std::vector<cw_upstream_entry>> upstreams;
+    /// Upstreams that are not leaving, by service; never null. Views between which nothing of them
+    /// has changed share one list.
+    std::shared_ptr<const cw_upstream_lists> upstreams = std::make_shared<cw_upstream_lists>();
     /// Key tables by service.
     std::map<std::string, std::shared_ptr<const cw_key_table>> tables;
     /// Hosts that share the retry budget, this one included.
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -577,11 +577,11 @@
                              [&](const cw_key_range& known) { return known.last < range.first; });
     const auto& old_range = *place;
     const auto& old = states_[static_cast<std::size_t>(place - table_.ranges.begin())];
-    for (std::size_t i = 0; i < states_.size(); ++i) {
-        const auto& known = table_.ranges[i];
-        const bool shared = known.first <= range.last && range.first <= known.last;
-        if (shared && known.owner == range.owner) {
-            state.hold_end = std::max(state.hold_end, states_[i].hold_end);
+    auto shown = place;
+    for (; shown != table_.ranges.end() && shown->first <= range.last; ++shown) {
+        if (shown->owner == range.owner) {
+            const auto& shared = states_[static_cast<std::size_t>(shown - table_.ranges.begin())];
+            state.hold_end = std::max(state.hold_end, shared.hold_end);
         }
     }
     if (old_range.fence == range.fence && old_range.owner == range.owner) {
@@ -610,9 +610,15 @@
 
 void cw_steward::adopt(const cw_key_table& table, cw_boot_time now) {
     std::vector<range_state> states;
-    states.reserve(table.ranges.size());
-    for (const auto& range : table.ranges) {
-        states.push_back(state_for(range));
+    if (is_steward() || table.steward == self_) {
+        states.reserve(table.ranges.size());
+        for (const auto& range : table.ranges) {
+            states.push_back(state_for(range));
+        }
+    } else {
+        // Others need none. One that comes into office later waits for the end of all that was
+        // granted before, its own earlier grants included.
+        states.resize(table.ranges.size());
     }
     if (table.steward != table_.steward) {
         suspicion_.reset(now);
--- a/Tests/Gateway/cw_gateway_call.cpp
+++ b/Tests/Gateway/cw_gateway_call.cpp
@@ -78,6 +78,7 @@
 std::shared_ptr<cw_gateway_view> cw_gateway_call::make_view() const {
     auto view = std::make_shared<cw_gateway_view>();
     view->config = make_config();
+    cw_upstream_lists lists;
     for (std::size_t place = 0; place < upstreams_.size(); ++place) {
         for (const char* service : {"safe", "order", "key"}) {
             cw_upstream_entry entry;
@@ -86,9 +87,10 @@
             entry.address = upstreams_[place]->address();
             entry.slots = 3;
             entry.life = 1;
-            view->upstreams[service].push_back(entry);
+            lists[service].push_back(entry);
         }
     }
+    view->upstreams = std::make_shared<const cw_upstream_lists>(std::move(lists));
     return view;
 }
 
@@ -111,9 +113,11 @@
 
 void cw_gateway_call::lose(std::size_t place) {
     auto view = std::make_shared<cw_gateway_view>(*view_);
-    for (auto& [service, upstreams] : view->upstreams) {
+    auto lists = *view->upstreams;
+    for (auto& [service, upstreams] : lists) {
         upstreams.at(place).address = "127.0.0.1:1";
     }
+    view->upstreams = std::make_shared<const cw_upstream_lists>(std::move(lists));
     view_ = view;
     traffic_.publish(view);
 }
