--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -45,7 +45,7 @@
     static constexpr int most_foreign = 2;
     /// Bytes of an answer's body that are held, and of its head.
     static constexpr std::uint64_t largest_answer = 8ULL * 1024 * 1024;
-    static constexpr std::uint32_t largest_head = 32 * 1024;
+    static constexpr std::uint32_t largest_head = 32'768;
     /// Bytes of an answer with its framing.
     static constexpr std::uint64_t largest_transfer = largest_answer + largest_answer / 8;
     /// Part of an upstream's idle limit after which a connection is no longer used.
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <string>
+#include <utility>
 
 using namespace std::chrono_literals;
 
@@ -333,3 +334,41 @@
     std::this_thread::sleep_for(400ms);
     CHECK(gateway.upstream(0).requests() == 0);
 }
+
+TEST_CASE("second_copy_of_an_answer_that_comes_late_reaches_no_later_caller") {
+    // The copy comes while the connection is in use again, before the answer that is due then.
+    std::string last;
+    cw_gateway_call gateway{{[&](const std::string& request) {
+        const auto own = cw_upstream_answer(
+            request, "200 OK", signature, "for " + cw_field_of(request, "X-Cuminwinch-Attempt-Id"));
+        const auto copy = std::exchange(last, own);
+        return cw_raw_upstream::reply{copy + own};
+    }}};
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "r" + std::to_string(i);
+        const auto seen = gateway.call(
+            "POST", "/order/a",
+            "X-Cuminwinch-Attempt-Id: " + id + "\r\nX-Cuminwinch-Request-Timeout-Ms: 900\r\n", "x");
+        CHECK(cw_status_of(seen) == 200);
+        CHECK(body_of(seen) == "for " + id);
+        CHECK(cw_field_of(seen, "X-Cuminwinch-Attempt-Id") == id);
+    }
+    CHECK(gateway.metrics().exposition().find("foreign_answers_total") != std::string::npos);
+}
+
+TEST_CASE("answer_that_breaks_off_is_never_passed_on_as_a_success") {
+    const std::string begin = "HTTP/1.1 200 OK\r\nX-Cuminwinch-Attempt-Id: r1\r\n" + signature;
+    const std::vector<std::string> halves{
+        begin + "\r\nwithout a length", begin + "Content-Length: 40\r\n\r\nhalf of it",
+        begin + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        begin + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", begin};
+    for (const auto& half : halves) {
+        CAPTURE(half);
+        cw_gateway_call gateway{{[&](const std::string&) {
+            cw_raw_upstream::reply reply{half};
+            reply.resets = true;
+            return reply;
+        }}};
+        CHECK(cw_status_of(gateway.call("POST", "/order/a", named, "x")) == 502);
+    }
+}
--- a/Tests/Routing/cw_raw_upstream.cpp
+++ b/Tests/Routing/cw_raw_upstream.cpp
@@ -91,6 +91,13 @@
             send_endless(socket, due);
             return;
         }
+        if (due.resets) {
+            std::this_thread::sleep_for(30ms);
+            // The destructor would take the option back.
+            socket.set_option(net::socket_base::linger{true, 0}, failure);
+            socket.close(failure);
+            return;
+        }
         if (failure || due.ends) {
             return;
         }
--- a/Tests/Routing/cw_raw_upstream.h
+++ b/Tests/Routing/cw_raw_upstream.h
@@ -21,6 +21,8 @@
         /// Sent again and again behind the bytes until the other side ends the connection.
         std::string endless = {};
         std::chrono::milliseconds endless_pause{0};
+        /// The connection is reset behind the bytes, after a moment in which they can arrive.
+        bool resets = false;
     };
     /// Takes the whole request as text.
     using script = std::function<reply(const std::string&)>;
