Leave a source that works only for a reader that has answered well

A host that then turned to the store itself waited 3 s on a connection that had gone silent.

Ruled out: a longer suspicion (the same, less often), following a reader that does not read the store (circles).

Change: a reader that failed is asked beside the present source, every 1.5 s, and followed again once it has answered well. The first watch after a turn to the store does not wait and is given up after 0.7 s.

--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -44,6 +44,7 @@
     void start() {
         spawn(follow_config());
         spawn(follow_upstreams());
+        spawn(question_readers());
     }
 
     /// Takes the readers of the own failure domain in their order.
@@ -54,7 +55,8 @@
         const auto known = cw_query_number(target, "revision", 0);
         const auto config = cw_query_number(target, "config", 0);
         const bool knows_loss = cw_query_number(target, "lost", 0) != 0;
-        const auto until = after(heartbeat);
+        const auto until =
+            after(cw_query_number(target, "wait", 1) != 0 ? heartbeat : milliseconds{0});
         const auto has_news = [&] {
             return !reads_store_ || entries_.has_news_since(known) || config_version_ > config ||
                    is_store_lost_ != knows_loss;
@@ -94,8 +96,13 @@
     static constexpr milliseconds heartbeat{250};
     /// Time beyond it that an answer may take on its way.
     static constexpr milliseconds heartbeat_grace{350};
+    /// Time for the first answer of the store to a host that turns to it; an open connection may
+    /// have gone silent meanwhile.
+    static constexpr milliseconds first_watch_grace{700};
     /// Interval at which a host without a source looks for one.
     static constexpr milliseconds source_poll{20};
+    /// Interval at which it is looked whether a reader that is passed over should be asked.
+    static constexpr milliseconds question_poll{50};
 
     static cw_time_point after(milliseconds time) {
         return std::chrono::steady_clock::now() + time;
@@ -119,7 +126,11 @@
     cw_feed_source next_source() {
         const auto now = cw_boot_clock::now();
         auto source = choice_.source(now);
+        const bool turns_to_store = source.what == cw_feed_source::kind::store && !reads_store_;
         reads_store_ = source.what == cw_feed_source::kind::store;
+        if (turns_to_store) {
+            watch_wait_ = milliseconds{0};
+        }
         if (source != source_) {
             log_.info("Entries come from another source.",
                       {{"source", reads_store_ ? "store" : source.reader},
@@ -199,8 +210,9 @@
         if (lists) {
             seen = co_await store_.list_upstreams(store_timeout);
         } else {
+            const auto grace = watch_wait_.count() == 0 ? first_watch_grace : watch_grace;
             seen = co_await store_.watch_upstreams(watch_revision_, watch_wait_,
-                                                   after(watch_wait_ + watch_grace));
+                                                   after(watch_wait_ + grace));
         }
         // The first watch after a failure does not wait, so that its silence shows soon.
         watch_wait_ = seen ? watch_wait : milliseconds{0};
@@ -240,10 +252,12 @@
 
     // -- a reader as the source
 
-    nothing follow_reader(std::string reader) {
+    /// Asks a reader and tells the choice what came of it.
+    boost::asio::awaitable<cw_result<cw_feed_answer>> ask(std::string reader, bool waits) {
         const auto target =
             std::string{cw_feed_path} + "?revision=" + std::to_string(entries_.revision()) +
-            "&config=" + std::to_string(config_version_) + "&lost=" + (is_store_lost_ ? "1" : "0");
+            "&config=" + std::to_string(config_version_) + "&lost=" + (is_store_lost_ ? "1" : "0") +
+            "&wait=" + (waits ? "1" : "0");
         cw_http_request request{boost::beast::http::verb::get, target, 11};
         request.set(boost::beast::http::field::host, reader);
         const auto response =
@@ -251,15 +265,36 @@
         const auto now = cw_boot_clock::now();
         auto answer = response ? cw_feed_answer::parse(response->body(), now)
                                : cw_result<cw_feed_answer>{tl::unexpected(response.error())};
+        if (answer) {
+            choice_.on_word(reader, answer->word, now);
+        } else {
+            choice_.on_failure(reader, now);
+        }
+        co_return answer;
+    }
+
+    nothing follow_reader(std::string reader) {
+        auto answer = co_await ask(reader, true);
         if (!answer) {
             log_.info("A reader does not answer.",
                       {{"reader", reader}, {"error", answer.error().text()}});
-            choice_.on_failure(reader, now);
-            co_return;
+        } else if (answer->word.reads_store) {
+            take_answer(std::move(*answer), cw_boot_clock::now());
         }
-        choice_.on_word(reader, answer->word, now);
-        if (answer->word.reads_store) {
-            take_answer(std::move(*answer), now);
+    }
+
+    nothing question(std::string reader) {
+        // What it tells is left to the present source; only whether it can be followed counts.
+        static_cast<void>(co_await ask(std::move(reader), false));
+    }
+
+    /// Asks readers that are passed over, beside the present source.
+    nothing question_readers() {
+        while (true) {
+            for (auto& reader : choice_.take_questions(cw_boot_clock::now())) {
+                spawn(question(std::move(reader)));
+            }
+            co_await cw_pause(context_, question_poll);
         }
     }
 
--- a/Source/cw_reader_choice.cpp
+++ b/Source/cw_reader_choice.cpp
@@ -9,17 +9,20 @@
       engine_{static_cast<std::minstd_rand::result_type>(seed)} {}
 
 void cw_reader_choice::on_readers(const std::vector<std::string>& order) {
-    if (!order.empty()) {
+    if (!order.empty() && order != order_) {
         order_ = order;
+        std::erase_if(suspected_, [&](const auto& item) {
+            return std::find(order_.begin(), order_.end(), item.first) == order_.end();
+        });
     }
 }
 
 void cw_reader_choice::on_word(const std::string& reader, const cw_reader_word& word,
                                cw_boot_time now) {
     if (!word.reads_store) {
-        suspected_[reader] = now + options_.settling;
+        suspected_[reader] = {now + options_.settling, options_.settling};
     } else if (word.store_age > options_.most_store_age) {
-        suspected_[reader] = now + options_.suspicion;
+        suspected_[reader] = {now + options_.suspicion, options_.suspicion};
     } else {
         suspected_.erase(reader);
         own_turn_ = {};
@@ -27,12 +30,19 @@
 }
 
 void cw_reader_choice::on_failure(const std::string& reader, cw_boot_time now) {
-    suspected_[reader] = now + options_.suspicion;
+    suspected_[reader] = {now + options_.suspicion, options_.suspicion};
 }
 
-bool cw_reader_choice::is_suspected(const std::string& reader, cw_boot_time now) const {
-    const auto found = suspected_.find(reader);
-    return found != suspected_.end() && now < found->second;
+std::vector<std::string> cw_reader_choice::take_questions(cw_boot_time now) {
+    std::vector<std::string> due;
+    for (const auto& reader : order_) {
+        const auto found = suspected_.find(reader);
+        if (found != suspected_.end() && now >= found->second.next_question) {
+            found->second.next_question = now + found->second.interval;
+            due.push_back(reader);
+        }
+    }
+    return due;
 }
 
 bool cw_reader_choice::is_named() const {
@@ -48,7 +58,7 @@
         if (reader == self_) {
             return {kind::store, {}};
         }
-        if (!is_suspected(reader, now)) {
+        if (!suspected_.contains(reader)) {
             return {kind::reader, reader};
         }
     }
--- a/Source/cw_reader_choice.h
+++ b/Source/cw_reader_choice.h
@@ -37,8 +37,8 @@
 struct cw_reader_options {
     /// Time from the start in which a host waits to be told of readers.
     std::chrono::milliseconds gather{700};
-    /// Time for which a reader that failed is passed over.
-    std::chrono::milliseconds suspicion{2'500};
+    /// Interval at which a reader that failed is asked whether it can be followed again.
+    std::chrono::milliseconds suspicion{1'500};
     /// The same for one that does not read the store yet.
     std::chrono::milliseconds settling{60};
     /// Age of the store's last answer from which a reader is passed over.
@@ -52,8 +52,10 @@
 /// Readers are named in an order. A host follows the first that is not suspected; one that is named
 /// itself reads the store when all before it are suspected, at once; the others do so too in the
 /// end, spread over some time. Nobody follows a host that does not read the store itself, so
-/// whatever orders hosts have been told, they never follow one another in a circle. The load that
-/// it answers: a store whose rates do not grow with the number of hosts.
+/// whatever orders hosts have been told, they never follow one another in a circle. A reader that
+/// failed is followed again only when it has answered a question beside the present source, so a
+/// host never leaves a source that works for one that may not. The load that it answers: a store
+/// whose rates do not grow with the number of hosts.
 ///
 /// A deterministic state machine: it reads no clock and does no I/O.
 class cw_reader_choice {
@@ -66,20 +68,25 @@
     void on_word(const std::string& reader, const cw_reader_word& word, cw_boot_time now);
     void on_failure(const std::string& reader, cw_boot_time now);
 
+    /// Readers that are passed over and should be asked now; each is named once an interval.
+    [[nodiscard]] std::vector<std::string> take_questions(cw_boot_time now);
     /// The source to use now.
     [[nodiscard]] cw_feed_source source(cw_boot_time now);
     /// True when others may rely on this host as a reader.
     [[nodiscard]] bool is_named() const;
 
 private:
-    [[nodiscard]] bool is_suspected(const std::string& reader, cw_boot_time now) const;
+    /// A reader that is passed over.
+    struct suspect {
+        cw_boot_time next_question{};
+        std::chrono::milliseconds interval{0};
+    };
 
     std::string self_;
     cw_reader_options options_;
     std::minstd_rand engine_;
     std::vector<std::string> order_;
-    /// Readers that failed, with the moment until which they are passed over.
-    std::map<std::string, cw_boot_time> suspected_;
+    std::map<std::string, suspect> suspected_;
     /// When the first question was asked.
     cw_boot_time started_{};
     /// When this host may turn to the store in place of all readers; the clock's beginning while
