Notice a caller's end behind requests that it has sent ahead

Ruled out: cancelling itself (callers without such requests are noticed).

Change: while a request is at work, what the caller sends behind it is taken into the connection's buffer, up to 16 KiB, and its end is seen. Test failed first: caller_that_leaves_with_requests_behind_the_first_has_it_cancelled; order of answers by requests_sent_behind_one_another_are_answered_in_their_order.

--- a/Source/cw_call_watch.cpp
+++ b/Source/cw_call_watch.cpp
@@ -10,9 +10,14 @@
 struct cw_call_watch::state {
     net::ip::tcp::socket* upstream = nullptr;
     net::steady_timer* pause = nullptr;
+    net::ip::tcp::socket* caller = nullptr;
+    boost::beast::flat_buffer* ahead = nullptr;
     bool caller_left = false;
     bool over = false;
 
+    bool take_ahead();
+    static void listen(const std::shared_ptr<state>& known);
+
     void on_caller_left() {
         caller_left = true;
         boost::system::error_code ignored;
@@ -26,6 +31,9 @@
 };
 
 namespace {
+/// Bytes of later requests that are taken in while one is at work.
+constexpr std::size_t most_ahead = 16'384;
+
 bool has_ended(net::ip::tcp::socket& socket) {
     char byte = 0;
     const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -33,17 +41,41 @@
 }
 } // namespace
 
-cw_call_watch::cw_call_watch(net::io_context& context, net::ip::tcp::socket& caller)
+/// Takes in what the caller has sent; false when there is no room for it.
+bool cw_call_watch::state::take_ahead() {
+    if (ahead == nullptr || ahead->size() >= most_ahead) {
+        return false;
+    }
+    boost::system::error_code failure;
+    const auto room = ahead->prepare(most_ahead - ahead->size());
+    ahead->commit(caller->read_some(room, failure));
+    return !failure;
+}
+
+/// Waits for bytes or the end of the caller's connection.
+void cw_call_watch::state::listen(const std::shared_ptr<state>& known) {
+    known->caller->async_wait(net::ip::tcp::socket::wait_read,
+                              [known](const boost::system::error_code& failure) {
+                                  if (known->over || failure) {
+                                      return;
+                                  }
+                                  if (has_ended(*known->caller)) {
+                                      known->on_caller_left();
+                                  } else if (known->take_ahead()) {
+                                      listen(known);
+                                  }
+                              });
+}
+
+cw_call_watch::cw_call_watch(net::io_context& context, net::ip::tcp::socket& caller,
+                             boost::beast::flat_buffer* ahead)
     : state_{std::make_shared<state>()},
       caller_{caller},
       alarm_{context},
       pause_{context} {
-    caller_.async_wait(net::ip::tcp::socket::wait_read,
-                       [known = state_, &caller](const boost::system::error_code& failure) {
-                           if (!known->over && !failure && has_ended(caller)) {
-                               known->on_caller_left();
-                           }
-                       });
+    state_->caller = &caller;
+    state_->ahead = ahead;
+    state::listen(state_);
 }
 
 cw_call_watch::~cw_call_watch() {
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -285,14 +285,14 @@
 
     nothing question(std::string reader) {
         // What it tells is left to the present source; only whether it can be followed counts.
-        static_cast<void>(co_await ask(std::move(reader), false));
+        static_cast<void>(co_await ask(reader, false));
     }
 
     /// Asks readers that are passed over, beside the present source.
     nothing question_readers() {
         while (true) {
-            for (auto& reader : choice_.take_questions(cw_boot_clock::now())) {
-                spawn(question(std::move(reader)));
+            for (const auto& reader : choice_.take_questions(cw_boot_clock::now())) {
+                spawn(question(reader));
             }
             co_await cw_pause(context_, question_poll);
         }
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -372,3 +372,44 @@
         CHECK(cw_status_of(gateway.call("POST", "/order/a", named, "x")) == 502);
     }
 }
+
+TEST_CASE("caller_that_leaves_with_requests_behind_the_first_has_it_cancelled") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "late"),
+                                      false, 2s};
+    }}};
+    const std::string request = "GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + named + "\r\n";
+    static_cast<void>(cw_send_raw(gateway.port(), {request, request, request}, 60ms, 0ms));
+    const auto until = std::chrono::steady_clock::now() + 500ms;
+    while (gateway.upstream(0).cancelled() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(gateway.upstream(0).cancelled() == 1);
+    CHECK(gateway.upstream(0).requests() == 1);
+}
+
+TEST_CASE("requests_sent_behind_one_another_are_answered_in_their_order") {
+    cw_gateway_call gateway{{[](const std::string& request) {
+        return cw_raw_upstream::reply{
+            cw_upstream_answer(request, "200 OK", signature,
+                               "for " + cw_field_of(request, "X-Cuminwinch-Attempt-Id") + ";"),
+            false, 30ms};
+    }}};
+    std::string text;
+    for (const char* id : {"p1", "p2", "p3"}) {
+        text += "GET /safe/a HTTP/1.1\r\nHost: shop.example\r\nX-Cuminwinch-Attempt-Id: " +
+                std::string{id} + "\r\nX-Cuminwinch-Request-Timeout-Ms: 900\r\n" +
+                (std::string{id} == "p3" ? "Connection: close\r\n" : "") + "\r\n";
+    }
+    for (const std::size_t cut : {text.size(), std::size_t{150}, std::size_t{40}}) {
+        const auto seen =
+            cw_send_raw(gateway.port(), {text.substr(0, cut), text.substr(cut)}, 10ms, 3s);
+        const auto first = seen.find("for p1;");
+        const auto second = seen.find("for p2;");
+        const auto third = seen.find("for p3;");
+        CHECK(first != std::string::npos);
+        CHECK(first < second);
+        CHECK(second < third);
+        CHECK(third != std::string::npos);
+    }
+}
