Pass a reader over as soon as the store turns it away

Ruled out: the relay of configurations itself (hosts of other domains had it in time).

Change: a reader that says that the store does not answer it is passed over at once, one whose last answer is older than 1.3 s as well (2.6 s before); so that calm readers stay below that, a watch of entries waits 0.4 s (1.5 s). A reader that is lost answers without delay. That a reader is turned away no longer counts as a disturbance of the store for its followers; their own failed calls do.

--- a/Source/cw_feed_answer.cpp
+++ b/Source/cw_feed_answer.cpp
@@ -5,7 +5,7 @@
 std::string cw_feed_answer::to_text(cw_boot_time now) const {
     nlohmann::json value{{"reads_store", word.reads_store},
                          {"store_age_ms", word.store_age.count()},
-                         {"store_lost", is_store_lost},
+                         {"store_lost", word.is_store_lost},
                          {"upstreams", cw_news_to_json(news, now)}};
     if (!config.is_null()) {
         value["config"] = config;
@@ -20,7 +20,7 @@
         answer.word.reads_store = value.at("reads_store").get<bool>();
         answer.word.store_age =
             std::chrono::milliseconds{value.at("store_age_ms").get<std::int64_t>()};
-        answer.is_store_lost = value.at("store_lost").get<bool>();
+        answer.word.is_store_lost = value.at("store_lost").get<bool>();
         auto news = cw_news_from_json(value.at("upstreams"), now);
         if (!news) {
             return tl::unexpected(news.error());
--- a/Source/cw_feed_answer.h
+++ b/Source/cw_feed_answer.h
@@ -14,8 +14,6 @@
 /// What a reader answers to a host of its failure domain.
 struct cw_feed_answer {
     cw_reader_word word;
-    /// True while the store does not answer the reader, so that missing entries prove nothing.
-    bool is_store_lost = false;
     cw_upstream_news news;
     /// The operators' configuration as the store holds it; null when the host knows it.
     nlohmann::json config;
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -54,20 +54,19 @@
     boost::asio::awaitable<cw_http_response> serve(std::string target) {
         const auto known = cw_query_number(target, "revision", 0);
         const auto config = cw_query_number(target, "config", 0);
-        const bool knows_loss = cw_query_number(target, "lost", 0) != 0;
         const auto until =
             after(cw_query_number(target, "wait", 1) != 0 ? heartbeat : milliseconds{0});
         const auto has_news = [&] {
-            return !reads_store_ || entries_.has_news_since(known) || config_version_ > config ||
-                   is_store_lost_ != knows_loss;
+            return !reads_store_ || is_store_lost_ || entries_.has_news_since(known) ||
+                   config_version_ > config;
         };
         while (!has_news() && std::chrono::steady_clock::now() < until) {
             co_await told_.wait(until);
         }
         const auto now = cw_boot_clock::now();
         cw_feed_answer answer;
-        answer.word = {reads_store_, std::chrono::duration_cast<milliseconds>(now - heard_)};
-        answer.is_store_lost = is_store_lost_;
+        answer.word = {reads_store_, std::chrono::duration_cast<milliseconds>(now - heard_),
+                       is_store_lost_};
         answer.news.revision = entries_.revision();
         if (entries_.has_news_since(known)) {
             answer.news = entries_.since(known);
@@ -87,8 +86,9 @@
     /// The same for a host that is no reader, so that a store that is down is not asked by all.
     static constexpr milliseconds lone_store_retry{1'000};
     /// A watch that waits while the store falls silent is never answered, also when the store is
-    /// back, and until its deadline nothing is heard of upstreams that leave.
-    static constexpr milliseconds watch_wait{1'500};
+    /// back, and until its deadline nothing is heard of upstreams that leave. Followers go by the
+    /// age of the last answer, so one without news must not take long.
+    static constexpr milliseconds watch_wait{400};
     static constexpr milliseconds watch_grace{1'500};
     /// A cut watch looks like one without news, so none waits longer than this.
     static constexpr milliseconds config_wait{1'000};
@@ -169,7 +169,7 @@
         while (true) {
             // The first configuration comes from the store itself, whoever is the reader.
             if (config_revision_ != 0 && !reads_store_) {
-                co_await cw_pause(context_, heartbeat);
+                co_await cw_pause(context_, question_poll);
                 continue;
             }
             cw_result<cw_config_change> seen;
@@ -256,8 +256,7 @@
     boost::asio::awaitable<cw_result<cw_feed_answer>> ask(std::string reader, bool waits) {
         const auto target =
             std::string{cw_feed_path} + "?revision=" + std::to_string(entries_.revision()) +
-            "&config=" + std::to_string(config_version_) + "&lost=" + (is_store_lost_ ? "1" : "0") +
-            "&wait=" + (waits ? "1" : "0");
+            "&config=" + std::to_string(config_version_) + "&wait=" + (waits ? "1" : "0");
         cw_http_request request{boost::beast::http::verb::get, target, 11};
         request.set(boost::beast::http::field::host, reader);
         const auto response =
@@ -302,14 +301,14 @@
         heard_ = now - answer.word.store_age;
         // From here a host goes on by itself when it loses its readers.
         watch_revision_ = std::max(watch_revision_, answer.news.revision);
+        // That the store does not answer the reader says nothing of the store, which another source
+        // may reach.
+        const bool is_lost = answer.word.is_store_lost;
         const bool can_take = entries_.revision() != 0 || answer.news.is_whole;
-        if (can_take && !(answer.is_store_lost && answer.news.is_empty())) {
+        if (can_take && !(is_lost && answer.news.is_empty())) {
             take_entries(std::move(answer.news));
         }
-        is_store_lost_ = answer.is_store_lost;
-        if (is_store_lost_) {
-            note_loss("the reader is not answered by the store");
-        }
+        is_store_lost_ = is_store_lost_ && is_lost;
         if (!answer.config.is_null()) {
             take_config(store_.decode_config(answer.config));
         }
--- a/Source/cw_reader_choice.cpp
+++ b/Source/cw_reader_choice.cpp
@@ -21,7 +21,7 @@
                                cw_boot_time now) {
     if (!word.reads_store) {
         suspected_[reader] = {now + options_.settling, options_.settling};
-    } else if (word.store_age > options_.most_store_age) {
+    } else if (word.is_store_lost || word.store_age > options_.most_store_age) {
         suspected_[reader] = {now + options_.suspicion, options_.suspicion};
     } else {
         suspected_.erase(reader);
--- a/Source/cw_reader_choice.h
+++ b/Source/cw_reader_choice.h
@@ -31,6 +31,8 @@
     bool reads_store = false;
     /// Age of the store's last answer to it.
     std::chrono::milliseconds store_age{0};
+    /// True while the store does not answer it.
+    bool is_store_lost = false;
 };
 
 /// Intervals and bounds of the choice.
@@ -42,7 +44,7 @@
     /// The same for one that does not read the store yet.
     std::chrono::milliseconds settling{60};
     /// Age of the store's last answer from which a reader is passed over.
-    std::chrono::milliseconds most_store_age{2'600};
+    std::chrono::milliseconds most_store_age{1'300};
     /// Hosts that lose all readers together turn to the store within this time.
     std::chrono::milliseconds spread{400};
 };
