Count work that a predecessor's release has found until its lease is over

Cause: a steward releases a range and ends before the answer; its successor finds the range still moving and sends the release again. The holder has given the range up by then and answers at once, though requests that the first release found are still at work there. The answer was taken as the end of that work. Ruled out: grants by the predecessor after its end (none in the history), late orders (off at that moment).

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -202,14 +202,7 @@
         }
     }
     if (is_steward() && !was_steward) {
-        const auto wait = predecessors_.begin(table_.predecessors, options_, now);
-        orders_.forget_upstreams();
-        balance_.begin(now);
-        leads_since_ = now;
-        note("steward takes over", self_.host,
-             "term " + std::to_string(table_.term) + ", earlier grants end within " +
-                 std::to_string(wait.count()) + " ms");
-        check_predecessors(now);
+        begin_office(now);
     }
     if (was_steward && !is_steward()) {
         suspicion_.on_succeeded(now);
@@ -219,6 +212,22 @@
     on_tick(now, out);
 }
 
+void cw_steward::begin_office(cw_boot_time now) {
+    const auto wait = predecessors_.begin(table_.predecessors, options_, now);
+    orders_.forget_upstreams();
+    balance_.begin(now);
+    leads_since_ = now;
+    for (auto& state : states_) {
+        for (auto& who : state.holders) {
+            who.released_before = true;
+        }
+    }
+    note("steward takes over", self_.host,
+         "term " + std::to_string(table_.term) + ", earlier grants end within " +
+             std::to_string(wait.count()) + " ms");
+    check_predecessors(now);
+}
+
 void cw_steward::on_beat_answer(const cw_beat_answer& event, cw_boot_time now) {
     beat_busy_ = false;
     if (event.was_write || !event.done) {
@@ -384,6 +393,9 @@
     if (orders_.is_replaced(who.who)) {
         return false;
     }
+    if (who.work_end != cw_boot_time{} && now > who.work_end) {
+        return false;
+    }
     return now <= std::max(who.hold_end, predecessors_.end()) ||
            orders_.is_granting(range, who.who);
 }
@@ -458,6 +470,14 @@
     }
 }
 
+void cw_steward::on_released(holder& who, const cw_order_ended& event) const {
+    if (who.released_before) {
+        who.work_end = event.ended + options_.longest_hold();
+    } else {
+        who.is_free = true;
+    }
+}
+
 void cw_steward::on_release_ended(const cw_key_order& order, const cw_order_ended& event) {
     for (std::size_t place = 0; place < table_.ranges.size(); ++place) {
         const auto& range = table_.ranges[place];
@@ -470,7 +490,7 @@
                 continue;
             }
             if (event.result == cw_order_result::done) {
-                who.is_free = true;
+                on_released(who, event);
                 state.handover = event.handover.empty() ? state.handover : event.handover;
             } else if (event.result == cw_order_result::not_sent) {
                 who.release_fence = 0;
@@ -600,6 +620,8 @@
         if (old_range.owner == owner) {
             who.hold_end = std::max(who.hold_end, old.hold_end);
             who.release_fence = 0;
+            who.released_before = false;
+            who.work_end = {};
             who.is_free = false;
         }
         who.next_release = {};
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -78,6 +78,11 @@
         /// Fence of the release that was sent; 0 when none can have arrived. A second one would be
         /// answered at once, though work that the first has found still runs.
         std::uint64_t release_fence = 0;
+        /// True when an earlier steward may have sent a release. The answer to another one then
+        /// shows only that nothing new is held: work may run on until its lease is over.
+        bool released_before = false;
+        /// When that work has ended at the latest; the clock's beginning while it is not known.
+        cw_boot_time work_end{};
         bool is_free = false;
     };
     /// What this host knows of a range beyond the table.
@@ -95,6 +100,8 @@
 
     void adopt(const cw_key_table& table, cw_boot_time now);
     [[nodiscard]] range_state state_for(const cw_key_range& range) const;
+    /// This host has come into office: earlier stewards may have sent any release already.
+    void begin_office(cw_boot_time now);
     void follow(cw_boot_time now, commands& out);
     void lead(cw_boot_time now, commands& out);
     /// Sends the orders that waited for one to this upstream. The load that it answers: thousands
@@ -115,6 +122,8 @@
     void read(cw_boot_time now, commands& out);
     void on_grant_ended(const cw_key_order& order, const cw_order_ended& event, cw_boot_time now);
     void on_release_ended(const cw_key_order& order, const cw_order_ended& event);
+    /// Takes a holder's own word that it has released its keys.
+    void on_released(holder& who, const cw_order_ended& event) const;
     /// Shows moving ranges that are confirmed as settled, unless a write is under way.
     void settle(cw_boot_time now);
     void check_predecessors(cw_boot_time now);
--- a/Tests/Gateway/cw_steward_test.cpp
+++ b/Tests/Gateway/cw_steward_test.cpp
@@ -155,6 +155,17 @@
     check_rules();
 }
 
+TEST_CASE_FIXTURE(settled_world, "successor_awaits_work_that_its_predecessors_release_found") {
+    world.begin_work("u2", 900ms);
+    world.drain_upstream("u2");
+    world.run(200ms);
+    world.stop_host(world.steward());
+    world.run(4s);
+    CHECK(keys_of("u2") == 0);
+    CHECK(world.longest_absence() <= 1'700ms);
+    check_rules();
+}
+
 TEST_CASE_FIXTURE(settled_world, "upstream_that_joins_is_given_keys_within_two_seconds") {
     world.start_upstream("u7");
     world.run(2s);
