Tell hosts that are many changes behind what has changed since their copy

Cause: a steward remembered 16 copies of a key table; a host that was further behind was told the whole table, 40 KB on a large service, which kept it behind. The new case, 400 changes, fails on the old code. Change: the steward remembers which spans of keys each change touched, for the last 1,000 changes, in place of whole copies.

--- a/Source/cw_table_news.h
+++ b/Source/cw_table_news.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 /// Names one copy of a key table.
 struct cw_table_mark {
@@ -24,9 +26,10 @@
 
 /// Tells other hosts how a service's key table has changed.
 ///
-/// A host that knows one of the last copies is sent only the ranges that differ, and each text is
+/// A host is sent only the ranges that have changed since the copy that it knows, and each text is
 /// made once for all hosts that know the same copy. The load that it answers: many hosts that are
-/// all told of each change by one steward.
+/// all told of each change by one steward, some of them on machines so weak that they are dozens of
+/// changes behind; told the whole table each time, they would never catch up.
 class cw_table_news {
 public:
     /// Takes the latest copy; one that is known already changes nothing.
@@ -40,20 +43,27 @@
     [[nodiscard]] const words& since(const cw_table_mark& known);
 
 private:
+    /// First and last of neighbouring keys.
+    using key_span = std::pair<std::uint32_t, std::uint32_t>;
+    /// What changed from one copy to the next.
+    struct step {
+        cw_table_mark before;
+        std::vector<key_span> changed;
+    };
+
     [[nodiscard]] words make(const cw_table_mark& known) const;
+    /// The latest copy with only those ranges that changed in this step or a later one.
+    [[nodiscard]] cw_key_table changes_from(std::deque<step>::const_iterator first) const;
 
-    /// Copies that are remembered; hosts that are answered at each change know one of the last.
-    static constexpr std::size_t most_copies = 16;
+    /// Changes that are remembered; at fifty a second, those of the last 20 s.
+    static constexpr std::size_t most_steps = 1'000;
     /// Texts that are kept; whatever copies hosts may name, memory stays bounded.
     static constexpr std::size_t most_texts = 64;
 
-    struct copy {
-        cw_table_mark mark;
-        std::shared_ptr<const cw_key_table> table;
-    };
-
-    /// The latest copy last.
-    std::deque<copy> copies_;
+    std::shared_ptr<const cw_key_table> latest_;
+    cw_table_mark mark_;
+    /// The step to the latest copy last.
+    std::deque<step> steps_;
     /// Texts for the latest copy, by the copy that the host knows.
     std::map<cw_table_mark, words> texts_;
 };
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -222,6 +222,31 @@
     CHECK(news.since(cw_table_mark::of(later)).text.empty());
 }
 
+TEST_CASE_FIXTURE(quartered, "news_of_a_table_to_a_host_hundreds_of_changes_behind_are_short") {
+    cw_table_news news;
+    news.on_table(std::make_shared<const cw_key_table>(table));
+    auto later = table;
+    // One popular key goes round, and its old and new neighbours are joined again and again.
+    for (std::uint32_t i = 0; i < 400; ++i) {
+        const cw_key_owner owner{i % 2 == 0 ? "d" : "b", 1, "x:1"};
+        later.apply({{20'000 + i % 7, 20'000 + i % 7, owner}});
+        for (auto& range : later.ranges) {
+            range.before.clear();
+        }
+        later.join();
+        ++later.edition;
+        news.on_table(std::make_shared<const cw_key_table>(later));
+    }
+    const auto& words = news.since(cw_table_mark::of(table));
+    CHECK_FALSE(words.is_whole);
+    const auto changes = cw_key_table::parse_changes(words.text);
+    REQUIRE(changes);
+    CHECK(changes->ranges.size() < later.ranges.size());
+    const auto made = table.with_changes(*changes);
+    REQUIRE(made);
+    CHECK(made->to_text() == later.to_text());
+}
+
 TEST_CASE_FIXTURE(quartered, "news_of_a_table_to_a_host_with_an_unknown_copy_are_the_whole_of_it") {
     cw_table_news news;
     auto later = table;
