--- a/Tests/Routing/cw_death_probe_test.cpp
+++ b/Tests/Routing/cw_death_probe_test.cpp
@@ -1,8 +1,11 @@
 #include "cw_death_probe.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <doctest/doctest.h>
 #include <exception>
 #include <string>
@@ -48,3 +51,22 @@
     context.run();
     CHECK(is_dead);
 }
+
+TEST_CASE_FIXTURE(probed_upstream, "probes_reset_by_an_upstream_that_is_full_find_it_alive") {
+    int taken = 0;
+    net::co_spawn(
+        context,
+        [this, &taken]() -> net::awaitable<void> {
+            while (taken < 3) {
+                auto caller = co_await acceptor.async_accept(net::use_awaitable);
+                ++taken;
+                caller.set_option(net::socket_base::linger{true, 0});
+                caller.close();
+            }
+        },
+        net::detached);
+    begin_probe();
+    context.run_for(std::chrono::seconds{2});
+    CHECK(taken == 3);
+    CHECK_FALSE(is_dead);
+}
