Leave an owner of keys alone for a moment when it sheds requests

Cause: some upstreams that are full close connections without an answer. That told a host nothing: it sent the next request for the owner's keys at once, and the same request once more; all were reset. Ruled out: idle connections that the upstream had dropped (made for the attempt in most cases; on a kept one an end within 50 ms still counts as that). Change: after a connection that ended without a word, requests that only this upstream can run are refused at once with the time that is left, 100 ms at first and up to 400 ms while it goes on; what may have run already waits for its next attempt in the host. An answer ends it.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -39,6 +39,8 @@
     using answer_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     static constexpr limits connect_limit{300};
+    /// Time from which the end of a kept connection is not put down to its having been idle.
+    static constexpr limits shed_time{50};
     /// Least time that is stated to an upstream.
     static constexpr limits least_left{1};
     /// Answers to other requests that are passed over on one connection.
@@ -79,6 +81,13 @@
         case cw_attempt_result::caller_left:
             known.on_withdrawn();
             break;
+        case cw_attempt_result::connection_lost:
+            if (without_a_word_ && (is_fresh_ || latency >= shed_time)) {
+                known.on_shed(at);
+                break;
+            }
+            known.on_failure(at);
+            break;
         default:
             known.on_failure(at);
         }
@@ -121,7 +130,8 @@
 
     boost::asio::awaitable<cw_attempt_result> send_and_receive(cw_gateway_exchange& current) {
         auto connection = traffic_.pool().take(pool_name(current));
-        if (connection == nullptr) {
+        is_fresh_ = connection == nullptr;
+        if (is_fresh_) {
             connection = co_await connect(current);
         }
         if (connection == nullptr) {
@@ -159,6 +169,7 @@
             const auto failure = co_await read(*connection, buffer, parser);
             if (failure) {
                 current.reason = "receive: " + failure.message();
+                without_a_word_ = buffer.size() == 0 && !parser.got_some();
                 co_return failure_of(cw_attempt_result::connection_lost);
             }
             const bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
@@ -239,4 +250,8 @@
     cw_call_watch& watch_;
     /// Load that the last answer reported.
     std::optional<cw_load_word> load_;
+    /// True when the connection was made for this attempt.
+    bool is_fresh_ = false;
+    /// True when the connection ended before the first byte of an answer.
+    bool without_a_word_ = false;
 };
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -65,6 +65,8 @@
     /// Attempts of which none has run.
     static constexpr std::uint32_t most_refusals = 3;
 
+    static constexpr const char* owner_sheds = "the owner closes connections on requests";
+
     static cw_time_point now() { return std::chrono::steady_clock::now(); }
 
     boost::asio::awaitable<bool> serve_one() {
@@ -367,7 +369,11 @@
     boost::asio::awaitable<bool> find_owner(cw_gateway_exchange& current, cw_call_watch& watch) {
         const auto until = now() + (current.deadline - now()) / most_move_wait_part;
         while (true) {
-            if (const auto* owner = owner_of(current)) {
+            const auto* owner = owner_of(current);
+            const auto hold_off = owner == nullptr ? milliseconds{0} : hold_off_of(*owner);
+            // What may have run cannot be refused any more, so it waits for its next attempt here.
+            const bool waits = current.state.may_have_run && hold_off.count() > 0;
+            if (owner != nullptr && !waits) {
                 current.upstream = *owner;
                 if (current.sent == 0) {
                     traffic_.count_key(current.service, *current.facts.key);
@@ -375,14 +381,22 @@
                 co_return true;
             }
             if (now() >= until || watch.has_caller_left()) {
-                current.reason = "the key has no settled owner";
+                current.reason = waits ? owner_sheds : "the key has no settled owner";
                 current.come_back = return_after_move;
                 co_return false;
             }
-            co_await traffic_.wait_for_view(watch, until);
+            const cw_time_point look_again = now() + hold_off;
+            co_await traffic_.wait_for_view(watch, waits ? std::min(look_again, until) : until);
         }
     }
 
+    /// Time for which an upstream is still left alone because it sheds requests.
+    milliseconds hold_off_of(const cw_upstream_entry& upstream) {
+        const auto until = traffic_.meter(upstream).shedding_until();
+        return std::max(milliseconds{0},
+                        std::chrono::ceil<milliseconds>(until - cw_boot_clock::now()));
+    }
+
     /// Time for which an upstream still wants no request.
     milliseconds pause_of(const cw_upstream_entry& upstream) {
         const auto until = traffic_.meter(upstream).paused_until();
@@ -414,6 +428,12 @@
             current.come_back = pause;
             return false;
         }
+        const auto hold_off = hold_off_of(current.upstream);
+        if (current.fence != 0 && hold_off.count() > 0) {
+            current.reason = owner_sheds;
+            current.come_back = hold_off;
+            return false;
+        }
         const auto expected = traffic_.meter(current.upstream)
                                   .expected_time(current.upstream.slots, cw_boot_clock::now());
         const auto target = current.started + current.route->target;
--- a/Source/cw_upstream_meter.cpp
+++ b/Source/cw_upstream_meter.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t most_failures = 2;
 constexpr auto first_pause = 500ms;
 constexpr std::uint32_t most_doublings = 2;
+/// Time for which one that sheds requests is left alone at first.
+constexpr auto first_hold_off = 100ms;
 
 } // namespace
 
@@ -34,6 +36,7 @@
                                     std::optional<cw_load_word> load, cw_boot_time now) {
     --in_flight_;
     failures_ = 0;
+    sheds_ = 0;
     avoided_until_ = {};
     note_load(load, now);
     // The wait for a slot is part of the latency; what was there when the answer left tells how
@@ -63,6 +66,15 @@
     }
 }
 
+void cw_upstream_meter::on_shed(cw_boot_time now) {
+    on_failure(now);
+    // Requests that were sent together and shed together count once.
+    if (now >= shedding_until_) {
+        shedding_until_ = now + first_hold_off * (1U << std::min(sheds_, most_doublings));
+        ++sheds_;
+    }
+}
+
 double cw_upstream_meter::load(cw_boot_time now) const {
     const auto age = std::chrono::duration<double>(now - heard_).count();
     return in_flight_ + others_ * std::exp2(-std::max(0.0, age) / others_half_life_seconds);
--- a/Source/cw_upstream_meter.h
+++ b/Source/cw_upstream_meter.h
@@ -23,6 +23,11 @@
     void on_busy(std::optional<cw_load_word> load, cw_boot_time now);
     /// It did not answer as it should.
     void on_failure(cw_boot_time now);
+    /// It closed the connection on a request without a word, as some do that are full.
+    ///
+    /// The load that it answers: popular keys whose owner sheds what it cannot take by closing
+    /// connections, which tells neither its load nor when to come back.
+    void on_shed(cw_boot_time now);
     /// A request was abandoned, or not run for a reason that says nothing about the load.
     void on_withdrawn() { --in_flight_; }
 
@@ -35,6 +40,9 @@
     [[nodiscard]] std::chrono::nanoseconds service_time() const;
     /// True while it should be passed over when there are others.
     [[nodiscard]] bool is_avoided(cw_boot_time now) const { return now < avoided_until_; }
+    /// End of the time for which nothing that only this upstream can run should be sent to it; a
+    /// past time when there is none.
+    [[nodiscard]] cw_boot_time shedding_until() const { return shedding_until_; }
     /// It wants no request until then.
     void pause(cw_boot_time until) { paused_until_ = std::max(paused_until_, until); }
     /// End of the pause that it asked for; a past time when there is none.
@@ -50,6 +58,8 @@
     cw_boot_time heard_{};
     double service_seconds_ = 0.0;
     std::uint32_t failures_ = 0;
+    std::uint32_t sheds_ = 0;
+    cw_boot_time shedding_until_{};
     cw_boot_time avoided_until_{};
     cw_boot_time paused_until_{};
 };
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -297,6 +297,24 @@
     CHECK(cw_pick_upstream(upstreams, {"z", 1s, &tried, 0}, meter_of, start)->id == "b");
 }
 
+TEST_CASE("meter_of_an_upstream_that_sheds_again_and_again_leaves_it_alone_for_longer") {
+    cw_upstream_meter meter;
+    const auto shed = [&](cw_boot_time at) {
+        meter.on_sent();
+        meter.on_shed(at);
+        return meter.shedding_until() - at;
+    };
+    CHECK(shed(start) == 100ms);
+    // One that was sent together with the first.
+    CHECK(shed(start + 10ms) == 90ms);
+    CHECK(shed(start + 200ms) == 200ms);
+    CHECK(shed(start + 500ms) == 400ms);
+    CHECK(shed(start + 1s) == 400ms);
+    meter.on_sent();
+    meter.on_answer(100ms, std::nullopt, start + 2s);
+    CHECK(shed(start + 3s) == 100ms);
+}
+
 TEST_CASE("meter_expects_a_wait_when_all_slots_are_taken") {
     cw_upstream_meter meter;
     meter.on_sent();
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -1,6 +1,7 @@
 #include "cw_gateway_call.h"
 #include "cw_raw_caller.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <string>
 #include <utility>
@@ -295,6 +296,35 @@
     CHECK(gateway.upstream(0).requests() == 2);
 }
 
+TEST_CASE("owner_that_closes_connections_without_a_word_is_left_alone_for_a_moment") {
+    cw_gateway_call gateway{{bytes("")}};
+    const std::string fields = named + "X-Cuminwinch-Shard-Key: 7\r\n";
+    // It may have run, so it can only fail.
+    CHECK(cw_status_of(gateway.call("GET", "/key/a", fields)) == 502);
+    const auto reached = gateway.upstream(0).requests();
+    CHECK(reached <= 2);
+    for (int i = 0; i < 5; ++i) {
+        check_refused(gateway.call("GET", "/key/a", fields));
+    }
+    CHECK(gateway.upstream(0).requests() == reached);
+    std::this_thread::sleep_for(500ms);
+    CHECK(cw_status_of(gateway.call("GET", "/key/a", fields)) == 502);
+    CHECK(gateway.upstream(0).requests() > reached);
+}
+
+TEST_CASE("owner_that_shed_one_request_runs_the_next_attempt_a_moment_later") {
+    std::atomic<int> seen{0};
+    cw_gateway_call gateway{{[&](const std::string& request) {
+        return seen++ == 0 ? cw_raw_upstream::reply{"", true}
+                           : cw_raw_upstream::reply{
+                                 cw_upstream_answer(request, "200 OK", signature, "fine")};
+    }}};
+    const std::string fields = named + "X-Cuminwinch-Shard-Key: 7\r\n";
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(cw_status_of(gateway.call("GET", "/key/a", fields)) == 200);
+    CHECK(std::chrono::steady_clock::now() - begin >= 100ms);
+}
+
 TEST_CASE("service_whose_upstreams_all_asked_for_a_pause_is_refused_at_once") {
     cw_gateway_call gateway{{always("503 Full", not_run + "Retry-After: 0.7\r\n", "wait")}};
     check_refused(gateway.call("POST", "/order/a", named, "x"));
