Tell the marks of crashed requests as changes, and only when there are any

Cause: each answer of the gathering steward carried all marks, also when the host knew them, and each view of the control state copied them. Change: a report names the marks that its host knows by a digest, and is told what has changed since; views share one set.

--- /dev/null
+++ b/Source/cw_crash_news.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+/// Requests that crashed upstreams, by fingerprint, with the number of crashes.
+using cw_crash_marks = std::map<std::uint64_t, std::uint32_t>;
+
+/// Tells other hosts how the marks of crashed requests have changed.
+///
+/// The load that it answers: an upstream that dies marks all that it had in hand, and each host
+/// asks for the marks several times a second; told all of them each time, they would take more of
+/// the links than the requests.
+class cw_crash_news {
+public:
+    /// Names one set of marks.
+    [[nodiscard]] static std::uint64_t digest_of(const cw_crash_marks& marks);
+    /// The marks that a host knows once it is told of changes; a count of 0 takes a mark away.
+    [[nodiscard]] static cw_crash_marks with_changes(cw_crash_marks known,
+                                                     const cw_crash_marks& changes);
+
+    /// Takes the latest marks; never null.
+    void on_marks(std::shared_ptr<const cw_crash_marks> marks);
+    /// What a host that knows the marks of the given digest must be told.
+    struct words {
+        /// True when `marks` are all there are, false when they are changes.
+        bool is_whole = false;
+        cw_crash_marks marks;
+    };
+    [[nodiscard]] words since(std::uint64_t known) const;
+
+private:
+    struct step {
+        std::uint64_t before;
+        cw_crash_marks changes;
+    };
+
+    /// Changes that are remembered.
+    static constexpr std::size_t most_steps = 200;
+
+    std::shared_ptr<const cw_crash_marks> latest_ = std::make_shared<cw_crash_marks>();
+    std::uint64_t digest_ = digest_of({});
+    /// The step to the latest marks last.
+    std::deque<step> steps_;
+};
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -167,6 +167,7 @@
         take_readers(event.readers);
         if (event.crashes && *event.crashes != told_crashes_) {
             told_crashes_ = *event.crashes;
+            marks_ = nullptr;
             changed_ = true;
         }
     }
@@ -222,6 +223,7 @@
                                                         cw_time_point{now.time_since_epoch()});
     if (news) {
         changed_ = true;
+        marks_ = nullptr;
         note(crash.answered ? "request cleared" : "request crashed an upstream",
              std::to_string(crash.fingerprint),
              crash.address + " crashes " + std::to_string(ledger_.crashes(crash.fingerprint)));
@@ -359,6 +361,15 @@
     return lists;
 }
 
+std::shared_ptr<const cw_crash_marks> cw_gateway_control::shared_marks() {
+    const bool gathered = gathers();
+    if (marks_ == nullptr || gathered != marks_gathered_) {
+        marks_gathered_ = gathered;
+        marks_ = std::make_shared<const cw_crash_marks>(gathered ? ledger_.all() : told_crashes_);
+    }
+    return marks_;
+}
+
 std::shared_ptr<const cw_gateway_view> cw_gateway_control::make_view() {
     auto view = std::make_shared<cw_gateway_view>();
     view->config = config_;
@@ -366,7 +377,7 @@
     view->stopping = stopping_;
     view->seeking = seeking_;
     view->readers = reader_orders_;
-    view->crashes = gathers() ? ledger_.all() : told_crashes_;
+    view->crashes = shared_marks();
     if (lists_ == nullptr) {
         lists_ = make_lists();
     }
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -73,6 +73,7 @@
     void note(std::string what, std::string subject, std::string detail);
     [[nodiscard]] std::shared_ptr<const cw_gateway_view> make_view();
     [[nodiscard]] std::shared_ptr<const cw_upstream_lists> make_lists() const;
+    [[nodiscard]] std::shared_ptr<const cw_crash_marks> shared_marks();
     /// The table as the last view shows it, or a new copy when it has changed.
     [[nodiscard]] std::shared_ptr<const cw_key_table> shared_table(const std::string& service,
                                                                    const cw_steward& steward) const;
@@ -102,7 +103,10 @@
     static constexpr std::uint32_t assumed_hosts = 8;
     cw_crash_ledger ledger_{cw_crash_options{}};
     /// The ledger of the steward that gathers crashes, as it told last.
-    std::map<std::uint64_t, std::uint32_t> told_crashes_;
+    cw_crash_marks told_crashes_;
+    /// The marks as the next view shows them; null when they have changed since the last.
+    std::shared_ptr<const cw_crash_marks> marks_;
+    bool marks_gathered_ = false;
     /// Crashes seen by this host that the gathering steward has not been told of.
     std::vector<cw_crash_note> untold_crashes_;
     /// Upstreams whose leaving this host has heard of and not told the stewards.
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_crash_news.h"
 #include "cw_key_table.h"
 #include "cw_reader_ranking.h"
 #include "cw_site_config.h"
@@ -26,8 +27,9 @@
     std::map<std::string, std::shared_ptr<const cw_key_table>> tables;
     /// Hosts that share the retry budget, this one included.
     std::uint32_t hosts = 1;
-    /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
-    std::map<std::uint64_t, std::uint32_t> crashes;
+    /// Requests that crashed upstreams; never null. Views between which nothing of them has changed
+    /// share one set.
+    std::shared_ptr<const cw_crash_marks> crashes = std::make_shared<cw_crash_marks>();
     /// Readers that this host names, by failure domain; empty when others name them.
     cw_reader_orders readers;
     /// Services whose steward this host is without an answer from the store.
--- a/Source/cw_host_exchange.cpp
+++ b/Source/cw_host_exchange.cpp
@@ -35,9 +35,10 @@
     return request;
 }
 
-std::string report_target(const cw_table_mark& known) {
+std::string report_target(const cw_table_mark& known, const cw_crash_marks& crashes) {
     return std::string{report_path} + "?term=" + std::to_string(known.term) +
-           "&edition=" + std::to_string(known.edition) + "&digest=" + std::to_string(known.digest);
+           "&edition=" + std::to_string(known.edition) + "&digest=" + std::to_string(known.digest) +
+           "&crashes=" + std::to_string(cw_crash_news::digest_of(crashes));
 }
 
 cw_table_mark known_by(std::string_view target) {
@@ -80,6 +81,7 @@
 
 void cw_host_exchange::on_view(std::shared_ptr<const cw_gateway_view> view) {
     view_ = std::move(view);
+    crash_news_.on_marks(view_->crashes);
     for (const auto& [service, table] : view_->tables) {
         news_[service].on_table(table);
     }
@@ -137,6 +139,7 @@
 boost::asio::awaitable<void> cw_host_exchange::report_to(cw_steward_id steward,
                                                          std::string service) {
     const auto known = table_of(service);
+    const auto crashes = view_ == nullptr ? std::make_shared<cw_crash_marks>() : view_->crashes;
     cw_host_report report;
     report.service = service;
     report.host = options_.host;
@@ -148,11 +151,12 @@
     if (service == gathering_service_) {
         report.crashes = std::exchange(untold_crashes_, {});
     }
-    const auto target = report_target(known ? cw_table_mark::of(*known) : cw_table_mark{});
+    const auto target =
+        report_target(known ? cw_table_mark::of(*known) : cw_table_mark{}, *crashes);
     const auto answer =
         co_await http_.request(steward.address, post(steward.address, target, report.to_text()),
                                after(report_interval + report_grace));
-    if (answer && take_answer(service, known, *answer)) {
+    if (answer && take_answer(service, known, *crashes, *answer)) {
         co_return;
     }
     untold_crashes_.insert(untold_crashes_.end(), report.crashes.begin(), report.crashes.end());
@@ -164,8 +168,9 @@
 
 bool cw_host_exchange::take_answer(const std::string& service,
                                    const std::shared_ptr<const cw_key_table>& known,
+                                   const cw_crash_marks& known_crashes,
                                    const cw_http_response& answer) {
-    const auto reply = cw_steward_reply::parse(answer.body());
+    auto reply = cw_steward_reply::parse(answer.body());
     if (!reply) {
         log_.warning("A steward's answer cannot be read.",
                      {{"service", service}, {"error", reply.error().text()}});
@@ -181,6 +186,9 @@
         deliver_(cw_table_copy{service, std::move(*table)});
         return false;
     }
+    if (reply->crashes && !reply->is_whole_crashes) {
+        reply->crashes = cw_crash_news::with_changes(known_crashes, *reply->crashes);
+    }
     deliver_(cw_steward_answer{service, std::move(*table), reply->hosts, reply->seeks_successor,
                                reply->crashes, reply->readers});
     return true;
@@ -247,7 +255,8 @@
     }
     deliver_(*report);
     const auto& service = report->service;
-    const auto mark = known_by({request.target().data(), request.target().size()});
+    const std::string_view target{request.target().data(), request.target().size()};
+    const auto mark = known_by(target);
     cw_key_table known;
     known.term = mark.term;
     known.edition = mark.edition;
@@ -257,22 +266,34 @@
         return latest == nullptr || latest->steward != self_ || latest->is_after(known) ||
                (seeks(service) && !was_seeking);
     }));
+    const auto reply = make_reply(*report, mark, cw_query_number(target, "crashes", 0));
+    const auto table = table_of(service);
+    const bool leads = table != nullptr && table->steward == self_;
+    co_return cw_make_response(leads ? http::status::ok : http::status::conflict, reply.to_text());
+}
+
+cw_steward_reply cw_host_exchange::make_reply(const cw_host_report& report,
+                                              const cw_table_mark& known,
+                                              std::uint64_t known_crashes) {
+    const auto& service = report.service;
     cw_steward_reply reply;
     reply.hosts = view_ == nullptr ? 1U : view_->hosts;
     reply.seeks_successor = seeks(service);
-    const auto& news = news_[service].since(mark);
+    const auto& news = news_[service].since(known);
     reply.table = news.text;
     reply.is_whole_table = news.is_whole;
     if (service == gathering_service_ && view_ != nullptr) {
-        reply.crashes = view_->crashes;
-        const auto readers = view_->readers.find(report->place.domain);
+        auto told = crash_news_.since(known_crashes);
+        if (told.is_whole || !told.marks.empty()) {
+            reply.crashes = std::move(told.marks);
+            reply.is_whole_crashes = told.is_whole;
+        }
+        const auto readers = view_->readers.find(report.place.domain);
         if (readers != view_->readers.end()) {
             reply.readers = readers->second;
         }
     }
-    const auto table = table_of(service);
-    const bool leads = table != nullptr && table->steward == self_;
-    co_return cw_make_response(leads ? http::status::ok : http::status::conflict, reply.to_text());
+    return reply;
 }
 
 // -- what both need
--- a/Source/cw_host_exchange.h
+++ b/Source/cw_host_exchange.h
@@ -2,6 +2,7 @@
 
 #include "cw_async_condition.h"
 #include "cw_control_event.h"
+#include "cw_crash_news.h"
 #include "cw_gateway_view.h"
 #include "cw_http_client.h"
 #include "cw_http_server.h"
@@ -20,6 +21,7 @@
 
 struct cw_gateway_options;
 class cw_gateway_traffic;
+struct cw_steward_reply;
 
 /// What gateways tell one another: loads and crashes to each service's steward, key tables to all
 /// hosts, and a succession to the steward before. Used on the I/O thread.
@@ -60,12 +62,16 @@
     /// Hands the steward's answer on; false when the other host is not the steward. What table it
     /// knows counts in either case.
     bool take_answer(const std::string& service, const std::shared_ptr<const cw_key_table>& known,
-                     const cw_http_response& answer);
+                     const cw_crash_marks& known_crashes, const cw_http_response& answer);
     task<void> tell_predecessor(cw_tell_predecessor command);
 
     task<cw_http_response> serve(cw_http_request request);
     /// Takes another host's report and answers when the table has changed, or after a while.
     task<cw_http_response> serve_report(cw_http_request request);
+    /// What a host is told that knows the copy of its service's table and the crash marks named.
+    [[nodiscard]] cw_steward_reply make_reply(const cw_host_report& report,
+                                              const cw_table_mark& known,
+                                              std::uint64_t known_crashes);
     /// Takes the table of a host that has succeeded this one. Answers with 200 once this host goes
     /// by that table, so that it grants no more.
     task<cw_http_response> serve_succession(cw_http_request request);
@@ -97,6 +103,7 @@
     cw_http_client http_;
     std::shared_ptr<const cw_gateway_view> view_;
     std::map<std::string, cw_table_news> news_;
+    cw_crash_news crash_news_;
     std::map<std::string, cw_steward_id> stewards_;
     std::map<std::string, std::vector<cw_key_count>> counts_;
     std::map<std::string, std::vector<cw_speed_note>> speeds_;
--- a/Source/cw_steward_reply.cpp
+++ b/Source/cw_steward_reply.cpp
@@ -5,6 +5,8 @@
 namespace {
 constexpr const char* whole_member = "table";
 constexpr const char* changes_member = "changes";
+constexpr const char* whole_crashes_member = "crashes";
+constexpr const char* crash_changes_member = "crash_changes";
 constexpr const char* read_step = "parse steward reply";
 } // namespace
 
@@ -17,7 +19,7 @@
         value[is_whole_table ? whole_member : changes_member] = nlohmann::json::parse(table);
     }
     if (crashes) {
-        value["crashes"] = *crashes;
+        value[is_whole_crashes ? whole_crashes_member : crash_changes_member] = *crashes;
     }
     if (!readers.empty()) {
         value["readers"] = readers;
@@ -39,8 +41,10 @@
         if (value.contains(member)) {
             reply.table = value.at(member).dump();
         }
-        if (value.contains("crashes")) {
-            reply.crashes = value.at("crashes").get<std::map<std::uint64_t, std::uint32_t>>();
+        reply.is_whole_crashes = value.contains(whole_crashes_member);
+        const auto* marks = reply.is_whole_crashes ? whole_crashes_member : crash_changes_member;
+        if (value.contains(marks)) {
+            reply.crashes = value.at(marks).get<cw_crash_marks>();
         }
         reply.readers = value.value("readers", std::vector<std::string>{});
     } catch (const nlohmann::json::exception& failure) {
--- a/Source/cw_steward_reply.h
+++ b/Source/cw_steward_reply.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "cw_crash_news.h"
 #include "cw_error.h"
 #include "cw_key_table.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,8 +20,10 @@
     /// empty when the reporting host knows the latest.
     std::string table;
     bool is_whole_table = false;
-    /// Deaths beside each request; only from the steward that gathers them.
-    std::optional<std::map<std::uint64_t, std::uint32_t>> crashes;
+    /// All marks of crashed requests, or their changes since the set that the report named; only
+    /// from the steward that gathers them, and only when there is news.
+    std::optional<cw_crash_marks> crashes;
+    bool is_whole_crashes = false;
     /// Addresses of the readers of the reporting host's failure domain in their order; empty from a
     /// steward that does not name them.
     std::vector<std::string> readers;
--- a/Tests/Gateway/cw_host_exchange_test.cpp
+++ b/Tests/Gateway/cw_host_exchange_test.cpp
@@ -90,13 +90,15 @@
     reply.seeks_successor = true;
     reply.table = cw_key_table{}.to_text();
     reply.is_whole_table = true;
-    reply.crashes = std::map<std::uint64_t, std::uint32_t>{{5, 2}};
+    reply.crashes = cw_crash_marks{{5, 2}};
+    reply.is_whole_crashes = true;
     const auto read = cw_steward_reply::parse(reply.to_text());
     REQUIRE(read);
     CHECK(read->hosts == 12);
     CHECK(read->seeks_successor);
     CHECK(read->is_whole_table);
     CHECK(read->crashes == reply.crashes);
+    CHECK(read->is_whole_crashes);
     CHECK(read->to_text() == reply.to_text());
 }
 
