Let weak hosts take several changes of a key table at once

Cause: while keys move, the table changes up to fifty times a second, and each change is answered to every host at once. Change: a host waits between two reports by its strength, 20 ms from a strength of 0.2, 120 ms for the weakest.

--- a/Source/cw_host_exchange.cpp
+++ b/Source/cw_host_exchange.cpp
@@ -4,6 +4,7 @@
 #include "cw_gateway_options.h"
 #include "cw_gateway_traffic.h"
 #include "cw_query.h"
+#include "cw_report_pace.h"
 #include "cw_spawn.h"
 #include "cw_steward_reply.h"
 #include "cw_succession_reply.h"
@@ -20,7 +21,6 @@
 /// Time beyond the interval that an answer may take on its way, and pause after a report that
 /// failed.
 constexpr milliseconds report_grace{250};
-constexpr milliseconds least_report_pause{20};
 constexpr std::string_view report_path{"/v1/report"};
 constexpr std::string_view succession_path{"/v1/succession"};
 
@@ -130,8 +130,8 @@
         }
         const auto before = std::chrono::steady_clock::now();
         co_await report_to(steward, service);
-        if (std::chrono::steady_clock::now() - before < least_report_pause) {
-            co_await cw_pause(context_, least_report_pause);
+        if (std::chrono::steady_clock::now() - before < report_interval) {
+            co_await cw_pause(context_, cw_report_pause(options_.strength()));
         }
     }
 }
--- /dev/null
+++ b/Tests/Gateway/cw_report_pace_test.cpp
@@ -0,0 +1,27 @@
+#include "cw_report_pace.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+/// Answers that a host takes in a second in which the table changes every 20 ms.
+auto answers_in_a_second(double strength) {
+    return 1s / cw_report_pause(strength);
+}
+} // namespace
+
+TEST_CASE("strong_host_with_changing_keys_takes_each_change") {
+    CHECK(answers_in_a_second(0.5) == 50);
+    CHECK(answers_in_a_second(0.2) == 50);
+}
+
+TEST_CASE("weak_host_with_changing_keys_takes_several_changes_at_once") {
+    CHECK(answers_in_a_second(0.05) <= 13);
+    CHECK(answers_in_a_second(0.025) <= 9);
+}
+
+TEST_CASE("host_of_unknown_strength_still_hears_within_a_moment") {
+    CHECK(cw_report_pause(0.0) == 120ms);
+    CHECK(cw_report_pause(0.001) == 120ms);
+}
