Keep a configuration that is being fetched apart from a later one

A fetch that ended while a later version was on its way made the host ask for that one a second time.

--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -297,7 +297,7 @@
             take_answer(std::move(*answer), cw_boot_clock::now());
             if (version > awaited_config()) {
                 fetched_config_ = version;
-                spawn(fetch_config(reader));
+                spawn(fetch_config(reader, version));
             }
         }
     }
@@ -308,22 +308,25 @@
 
     /// Takes a whole configuration from a reader, beside the entries; from the store when the
     /// reader does not give it in time.
-    nothing fetch_config(std::string reader) {
+    nothing fetch_config(std::string reader, std::uint64_t version) {
         auto answer = co_await request(reader, cw_feed_part::config, config_transfer);
         if (answer && !answer->config.is_null()) {
             take_config(store_.decode_config(answer->config));
         } else {
             log_.info("A reader does not give its configuration.",
                       {{"reader", reader},
-                       {"version", std::to_string(fetched_config_)},
+                       {"version", std::to_string(version)},
                        {"error", answer ? "" : answer.error().text()}});
             const auto seen = co_await store_.read_config(after(store_timeout));
             if (seen) {
                 take_config(*seen);
             }
         }
-        // When both have failed, the next answer with the version begins anew.
-        fetched_config_ = 0;
+        // When both have failed, the next answer with the version begins anew, unless a later one
+        // is on its way by now.
+        if (fetched_config_ == version) {
+            fetched_config_ = 0;
+        }
     }
 
     nothing question(std::string reader) {
