Let a class of its own find the upstream of a request

The session held 552 lines, of which 150 decide where a request goes and need neither the caller's connection nor the dialect. They are cw_upstream_selection now, compiled once; the two times that are left until a moment are worked out in one place.

--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -8,7 +8,7 @@
 #include "cw_reject.h"
 #include "cw_request_check.h"
 #include "cw_socket_alarm.h"
-#include "cw_upstream_picker.h"
+#include "cw_upstream_selection.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -51,22 +51,14 @@
     static constexpr milliseconds answer_margin{20};
     /// Least time left in which another attempt makes sense.
     static constexpr milliseconds least_time_left{20};
-    /// Longest wait for the owner of a key that is moving, as a part of the time that is left.
-    static constexpr int most_move_wait_part = 3;
-    static constexpr milliseconds return_after_move{250};
     static constexpr milliseconds return_when_unready{500};
     /// Time for the answer to a rejected request, and for the rest of that request.
     static constexpr milliseconds linger_time{500};
-    /// Part of a route's target time within which an expected answer is good enough: a half.
-    static constexpr int good_part = 1;
-    static constexpr int whole_part = 2;
     /// Upstreams without keys that may be out of reach beside the attempts that count.
     static constexpr std::uint32_t most_unreached = 2;
     /// Attempts of which none has run.
     static constexpr std::uint32_t most_refusals = 3;
 
-    static constexpr const char* owner_sheds = "the owner closes connections on requests";
-
     static cw_time_point now() { return std::chrono::steady_clock::now(); }
 
     boost::asio::awaitable<bool> serve_one() {
@@ -203,12 +195,13 @@
     /// Sends the request until it is answered or given up.
     boost::asio::awaitable<cw_attempt_result> forward(cw_gateway_exchange& current,
                                                       cw_call_watch& watch) {
+        cw_upstream_selection selection{traffic_, watch};
         cw_gateway_attempt<Dialect> attempt{traffic_, watch};
         while (true) {
             if (is_refused_for_crashes(current)) {
                 co_return cw_attempt_result::refused_busy;
             }
-            if (!co_await choose(current, watch)) {
+            if (!co_await selection.choose(current)) {
                 co_return watch.has_caller_left() ? cw_attempt_result::caller_left
                                                   : cw_attempt_result::refused_busy;
             }
@@ -298,155 +291,6 @@
                (current.sent == 0 || current.state.budget_left);
     }
 
-    /// Sets the upstream; false, with the reason and when to come back, when there is none.
-    boost::asio::awaitable<bool> choose(cw_gateway_exchange& current, cw_call_watch& watch) {
-        current.view = traffic_.view();
-        const auto service = current.config->services().find(current.service);
-        if (service == current.config->services().end()) {
-            current.reason = "the service is not configured";
-            co_return false;
-        }
-        if (service->second.keyed) {
-            if (!current.facts.key || *current.facts.key > cw_last_key) {
-                current.reason = "the request names no key";
-                co_return false;
-            }
-            if (!co_await find_owner(current, watch)) {
-                co_return false;
-            }
-        } else if (!pick(current)) {
-            co_return false;
-        }
-        co_return fits(current);
-    }
-
-    bool pick(cw_gateway_exchange& current) {
-        const auto pool = current.view->upstreams->find(current.service);
-        const cw_pick_wish wish{traffic_.domain(), current.route->target * good_part / whole_part,
-                                &current.tried, traffic_.draw()};
-        const auto* chosen =
-            pool == current.view->upstreams->end()
-                ? nullptr
-                : cw_pick_upstream(
-                      pool->second, wish,
-                      [this](const auto& entry) -> const auto& { return traffic_.meter(entry); },
-                      cw_boot_clock::now());
-        if (chosen == nullptr) {
-            current.reason = "the service has no other upstream";
-            if (pool != current.view->upstreams->end()) {
-                come_back_after_pause(current, pool->second);
-            }
-            return false;
-        }
-        current.upstream = *chosen;
-        return true;
-    }
-
-    /// The settled owner of the request's key, which has not just said that it is not the owner.
-    const cw_upstream_entry* owner_of(cw_gateway_exchange& current) {
-        current.view = traffic_.view();
-        const auto table = current.view->tables.find(current.service);
-        if (table == current.view->tables.end()) {
-            return nullptr;
-        }
-        const auto& range = table->second->range_of(*current.facts.key);
-        const bool refused = current.refused_fence != 0 && current.refused_fence == range.fence;
-        const auto pool = current.view->upstreams->find(current.service);
-        if (range.is_moving() || refused || pool == current.view->upstreams->end()) {
-            return nullptr;
-        }
-        const auto found =
-            std::find_if(pool->second.begin(), pool->second.end(), [&](const auto& entry) {
-                return entry.id == range.owner.id && entry.life == range.owner.life;
-            });
-        if (found == pool->second.end()) {
-            return nullptr;
-        }
-        current.fence = range.fence;
-        return &*found;
-    }
-
-    boost::asio::awaitable<bool> find_owner(cw_gateway_exchange& current, cw_call_watch& watch) {
-        const auto until = now() + (current.deadline - now()) / most_move_wait_part;
-        while (true) {
-            const auto* owner = owner_of(current);
-            const auto hold_off = owner == nullptr ? milliseconds{0} : hold_off_of(*owner);
-            // What may have run cannot be refused any more, so it waits for its next attempt here.
-            const bool waits = current.state.may_have_run && hold_off.count() > 0;
-            if (owner != nullptr && !waits) {
-                current.upstream = *owner;
-                if (current.sent == 0) {
-                    traffic_.count_key(current.service, *current.facts.key);
-                }
-                co_return true;
-            }
-            if (now() >= until || watch.has_caller_left()) {
-                current.reason = waits ? owner_sheds : "the key has no settled owner";
-                current.come_back = return_after_move;
-                co_return false;
-            }
-            const cw_time_point look_again = now() + hold_off;
-            co_await traffic_.wait_for_view(watch, waits ? std::min(look_again, until) : until);
-        }
-    }
-
-    /// Time for which an upstream is still left alone because it sheds requests.
-    milliseconds hold_off_of(const cw_upstream_entry& upstream) {
-        const auto until = traffic_.meter(upstream).shedding_until();
-        return std::max(milliseconds{0},
-                        std::chrono::ceil<milliseconds>(until - cw_boot_clock::now()));
-    }
-
-    /// Time for which an upstream still wants no request.
-    milliseconds pause_of(const cw_upstream_entry& upstream) {
-        const auto until = traffic_.meter(upstream).paused_until();
-        return std::chrono::ceil<milliseconds>(until - cw_boot_clock::now());
-    }
-
-    /// The soonest moment at which an upstream of the service takes requests again, if all that are
-    /// left want none for a while.
-    void come_back_after_pause(cw_gateway_exchange& current,
-                               const std::vector<cw_upstream_entry>& upstreams) {
-        auto soonest = milliseconds::max();
-        for (const auto& upstream : upstreams) {
-            if (const auto pause = pause_of(upstream); pause.count() > 0) {
-                soonest = std::min(soonest, pause);
-            }
-        }
-        if (soonest != milliseconds::max()) {
-            current.come_back = soonest;
-        }
-    }
-
-    /// False when the upstream would probably not be done in time.
-    ///
-    /// Time is the route's target until that has passed: a queue that is longer makes every answer
-    /// late and not one more of them possible.
-    bool fits(cw_gateway_exchange& current) {
-        if (const auto pause = pause_of(current.upstream); pause.count() > 0) {
-            current.reason = "the upstream wants no request for a while";
-            current.come_back = pause;
-            return false;
-        }
-        const auto hold_off = hold_off_of(current.upstream);
-        if (current.fence != 0 && hold_off.count() > 0) {
-            current.reason = owner_sheds;
-            current.come_back = hold_off;
-            return false;
-        }
-        const auto expected = traffic_.meter(current.upstream)
-                                  .expected_time(current.upstream.slots, cw_boot_clock::now());
-        const auto target = current.started + current.route->target;
-        const auto until = now() < target ? std::min(target, current.deadline) : current.deadline;
-        const auto left = until - now();
-        if (expected <= left || traffic_.meter(current.upstream).in_flight() == 0) {
-            return true;
-        }
-        current.reason = "the upstream's queue is longer than the time that is left";
-        current.come_back = std::chrono::duration_cast<milliseconds>(expected - left);
-        return false;
-    }
-
     boost::asio::awaitable<bool> finish(cw_gateway_exchange& current, cw_attempt_result result) {
         if (result == cw_attempt_result::caller_left) {
             traffic_.metrics().count("abandoned_requests");
