Name in one place that a call was never sent

The client said by the word of a step that nothing of a call had arrived, and the orders compared that word. Nothing else changes.

--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -15,8 +15,9 @@
 /// Bytes of an answer that are held; a list comes in pages of a quarter of it at most.
 constexpr std::uint64_t largest_body = 4'000'000;
 constexpr std::size_t most_idle = 4;
-/// Step of a connection that could not be made after the message had been sent on a kept one: it
-/// may have arrived.
+/// Step of a connection that could not be made, and of one after the message had been sent on a
+/// kept one: then it may have arrived.
+constexpr const char* connect_first = "connect";
 constexpr const char* connect_again = "connect again";
 
 tl::unexpected<cw_error> failed(const char* step, const std::string& peer,
@@ -26,10 +27,14 @@
 } // namespace
 
 bool cw_is_refused(const cw_error& error) {
-    return (error.step == "connect" || error.step == connect_again) &&
+    return (error.step == connect_first || error.step == connect_again) &&
            error.reason == boost::system::error_code{net::error::connection_refused}.message();
 }
 
+bool cw_was_never_sent(const cw_error& error) {
+    return error.step == connect_first;
+}
+
 bool cw_is_too_large(const cw_error& error) {
     return error.step == "receive" &&
            error.reason == http::make_error_code(http::error::body_limit).message();
@@ -52,7 +57,7 @@
                                                                     cw_sending sending) {
     const auto endpoint = cw_address::parse(address);
     if (!endpoint) {
-        co_return tl::unexpected(cw_error{"connect", address, "not an IP:port"});
+        co_return tl::unexpected(cw_error{connect_first, address, "not an IP:port"});
     }
     message.prepare_payload();
     auto connection =
@@ -75,7 +80,7 @@
     boost::system::error_code failure;
     co_await connection->async_connect(endpoint->tcp(), cw_into(failure));
     if (failure) {
-        co_return failed(was_sent ? connect_again : "connect", address, failure);
+        co_return failed(was_sent ? connect_again : connect_first, address, failure);
     }
     connection->socket().set_option(net::ip::tcp::no_delay{true}, failure);
     // A call that was given up must not arrive later: its end drops what is still on the way. The
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -16,6 +16,9 @@
 /// True when a call failed because nothing listens at the peer's address.
 [[nodiscard]] bool cw_is_refused(const cw_error& error);
 
+/// True when a call failed before anything of it could arrive.
+[[nodiscard]] bool cw_was_never_sent(const cw_error& error);
+
 /// True when a call failed because the answer is larger than a control call's may be.
 [[nodiscard]] bool cw_is_too_large(const cw_error& error);
 
@@ -35,8 +38,7 @@
     explicit cw_http_client(boost::asio::io_context& context)
         : context_{context} {}
 
-    /// The whole answer of the peer ("IP:port"), or the step that failed by the deadline. Only the
-    /// step "connect" says that nothing has been sent.
+    /// The whole answer of the peer ("IP:port"), or the step that failed by the deadline.
     boost::asio::awaitable<cw_result<cw_http_response>>
     request(std::string address, cw_http_request message, cw_time_point deadline,
             cw_sending sending = cw_sending::again);
