Give the marks of crashed requests one type, and digest them once a change

The map of fingerprints and crashes was spelled out in nine places beside its new name; all use cw_crash_marks now. Nothing else changes.

--- a/Source/cw_crash_guard.cpp
+++ b/Source/cw_crash_guard.cpp
@@ -33,7 +33,7 @@
     report_(fingerprint, "", true);
 }
 
-void cw_crash_guard::set_shared(std::map<std::uint64_t, std::uint32_t> crashes, cw_time_point now) {
+void cw_crash_guard::set_shared(cw_crash_marks crashes, cw_time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const auto& [fingerprint, count] : shared_) {
         // The keepers drop a request once it was answered, or after a long time.
--- a/Source/cw_crash_guard.h
+++ b/Source/cw_crash_guard.h
@@ -6,7 +6,6 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <mutex>
 #include <string>
 
@@ -32,12 +31,12 @@
     void on_crash(std::uint64_t fingerprint, const std::string& address, cw_time_point now);
     void on_answer(std::uint64_t fingerprint);
     /// Takes over the numbers of crashes that the keeper stated.
-    void set_shared(std::map<std::uint64_t, std::uint32_t> crashes, cw_time_point now);
+    void set_shared(cw_crash_marks crashes, cw_time_point now);
 
 private:
     mutable std::mutex mutex_;
     cw_crash_ledger ledger_;
-    std::map<std::uint64_t, std::uint32_t> shared_;
+    cw_crash_marks shared_;
     std::atomic<bool> marked_{false};
     reporter report_;
 };
--- a/Source/cw_crash_ledger.cpp
+++ b/Source/cw_crash_ledger.cpp
@@ -46,8 +46,8 @@
     }
 }
 
-std::map<std::uint64_t, std::uint32_t> cw_crash_ledger::all() const {
-    std::map<std::uint64_t, std::uint32_t> result;
+cw_crash_marks cw_crash_ledger::all() const {
+    cw_crash_marks result;
     for (const auto& [fingerprint, known] : entries_) {
         result.emplace(fingerprint, known.crashes);
     }
--- a/Source/cw_crash_ledger.h
+++ b/Source/cw_crash_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_crash_marks.h"
 #include "cw_time.h"
 
 #include <chrono>
@@ -49,7 +50,7 @@
     [[nodiscard]] cw_time_point keyed_refused_until(std::uint64_t fingerprint) const;
     [[nodiscard]] std::uint32_t crashes(std::uint64_t fingerprint) const;
     /// Marked requests with the number of their crashes.
-    [[nodiscard]] std::map<std::uint64_t, std::uint32_t> all() const;
+    [[nodiscard]] cw_crash_marks all() const;
     /// Forgets what has lapsed.
     void on_tick(cw_time_point now);
     [[nodiscard]] bool empty() const { return entries_.empty(); }
--- /dev/null
+++ b/Source/cw_crash_marks.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+/// Requests that crashed upstreams, by fingerprint, with the number of crashes.
+using cw_crash_marks = std::map<std::uint64_t, std::uint32_t>;
--- a/Source/cw_crash_news.h
+++ b/Source/cw_crash_news.h
@@ -1,14 +1,11 @@
 #pragma once
 
+#include "cw_crash_marks.h"
+
+#include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <memory>
-#include <utility>
-#include <vector>
-
-/// Requests that crashed upstreams, by fingerprint, with the number of crashes.
-using cw_crash_marks = std::map<std::uint64_t, std::uint32_t>;
 
 /// Tells other hosts how the marks of crashed requests have changed.
 ///
@@ -32,6 +29,10 @@
         cw_crash_marks marks;
     };
     [[nodiscard]] words since(std::uint64_t known) const;
+    /// The latest marks; never null.
+    [[nodiscard]] const std::shared_ptr<const cw_crash_marks>& latest() const { return latest_; }
+    /// The digest of the latest marks.
+    [[nodiscard]] std::uint64_t digest() const { return digest_; }
 
 private:
     struct step {
--- a/Source/cw_crash_relay.cpp
+++ b/Source/cw_crash_relay.cpp
@@ -71,6 +71,6 @@
     }
 }
 
-std::map<std::uint64_t, std::uint32_t> cw_crash_relay::crashes() const {
+cw_crash_marks cw_crash_relay::crashes() const {
     return ledger_.all();
 }
--- a/Source/cw_crash_relay.h
+++ b/Source/cw_crash_relay.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,7 +25,7 @@
     void on_tick(cw_time_point now);
 
     /// Marked requests with the number of their crashes.
-    [[nodiscard]] std::map<std::uint64_t, std::uint32_t> crashes() const;
+    [[nodiscard]] cw_crash_marks crashes() const;
 
 private:
     struct repeat {
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cw_crash_news.h"
+#include "cw_crash_marks.h"
 #include "cw_key_table.h"
 #include "cw_reader_ranking.h"
 #include "cw_site_config.h"
--- a/Source/cw_host_exchange.cpp
+++ b/Source/cw_host_exchange.cpp
@@ -35,10 +35,10 @@
     return request;
 }
 
-std::string report_target(const cw_table_mark& known, const cw_crash_marks& crashes) {
+std::string report_target(const cw_table_mark& known, std::uint64_t known_crashes) {
     return std::string{report_path} + "?term=" + std::to_string(known.term) +
            "&edition=" + std::to_string(known.edition) + "&digest=" + std::to_string(known.digest) +
-           "&crashes=" + std::to_string(cw_crash_news::digest_of(crashes));
+           "&crashes=" + std::to_string(known_crashes);
 }
 
 cw_table_mark known_by(std::string_view target) {
@@ -139,7 +139,7 @@
 boost::asio::awaitable<void> cw_host_exchange::report_to(cw_steward_id steward,
                                                          std::string service) {
     const auto known = table_of(service);
-    const auto crashes = view_ == nullptr ? std::make_shared<cw_crash_marks>() : view_->crashes;
+    const auto crashes = crash_news_.latest();
     cw_host_report report;
     report.service = service;
     report.host = options_.host;
@@ -152,7 +152,7 @@
         report.crashes = std::exchange(untold_crashes_, {});
     }
     const auto target =
-        report_target(known ? cw_table_mark::of(*known) : cw_table_mark{}, *crashes);
+        report_target(known ? cw_table_mark::of(*known) : cw_table_mark{}, crash_news_.digest());
     const auto answer =
         co_await http_.request(steward.address, post(steward.address, target, report.to_text()),
                                after(report_interval + report_grace));
--- a/Source/cw_route_view.cpp
+++ b/Source/cw_route_view.cpp
@@ -38,7 +38,7 @@
         view->hosts_ = std::move(*hosts);
         // A keeper of the release before states none.
         if (state.contains("crashes")) {
-            view->crashes_ = state.at("crashes").get<std::map<std::uint64_t, std::uint32_t>>();
+            view->crashes_ = state.at("crashes").get<cw_crash_marks>();
         }
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse routes", "keeper", failure.what()});
--- a/Source/cw_route_view.h
+++ b/Source/cw_route_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_config.h"
+#include "cw_crash_marks.h"
 #include "cw_error.h"
 #include "cw_host.h"
 #include "cw_slice_table.h"
@@ -48,7 +49,7 @@
     /// Upstreams of a service without keys that are not leaving, as seen from a failure domain.
     [[nodiscard]] cw_upstream_choices pool(std::string_view service, std::string_view domain) const;
     /// Requests that crashed upstreams, by fingerprint, with the number of crashes.
-    [[nodiscard]] const std::map<std::uint64_t, std::uint32_t>& crashes() const { return crashes_; }
+    [[nodiscard]] const cw_crash_marks& crashes() const { return crashes_; }
 
 private:
     std::uint64_t run_ = 0;
@@ -56,5 +57,5 @@
     std::shared_ptr<const cw_config> config_;
     std::map<std::string, cw_slice_table> tables_;
     std::vector<cw_host> hosts_;
-    std::map<std::uint64_t, std::uint32_t> crashes_;
+    cw_crash_marks crashes_;
 };
