Serve twins in traffic, control and tests with one piece each

Counts and speeds were taken by two loops of one shape; an upstream's leaving, heard from traffic or in a report, was handled by the same step written twice; an attempt that failed told its meter in two branches; two cases set up the same large service. A configuration that neither the reader nor the store gives is logged. Nothing else changes.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -81,18 +81,22 @@
         case cw_attempt_result::caller_left:
             known.on_withdrawn();
             break;
-        case cw_attempt_result::connection_lost:
-            if (without_a_word_ && (is_fresh_ || latency >= shed_time)) {
+        default:
+            if (was_shed(result, latency)) {
                 known.on_shed(at);
-                break;
+            } else {
+                known.on_failure(at);
             }
-            known.on_failure(at);
-            break;
-        default:
-            known.on_failure(at);
         }
     }
 
+    /// True when the upstream ended the connection without a word, and not for its having been
+    /// idle.
+    [[nodiscard]] bool was_shed(cw_attempt_result result, std::chrono::nanoseconds latency) const {
+        return result == cw_attempt_result::connection_lost && without_a_word_ &&
+               (is_fresh_ || latency >= shed_time);
+    }
+
     /// An upstream that has just started is slow for a while, which says nothing of later.
     void note_speed(const cw_gateway_exchange& current, double seconds, cw_boot_time at) {
         if (current.fence != 0 && at >= current.upstream.warm_at) {
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -203,10 +203,7 @@
         keep_crash(crash, now);
     }
     for (const auto& leaving : event.leaving) {
-        if (directory_.on_leaving(leaving.id, leaving.life)) {
-            note("upstream says it leaves", leaving.id, "told by " + event.host);
-            after_upstreams(true, now);
-        }
+        take_leaving(leaving, "told by " + event.host, now);
     }
 }
 
@@ -238,11 +235,19 @@
 }
 
 void cw_gateway_control::on(const cw_leaving_note& event, cw_boot_time now) {
-    if (directory_.on_leaving(event.id, event.life)) {
-        note("upstream says it leaves", event.id, event.service);
+    if (take_leaving(event, event.service, now)) {
         untold_leaving_.push_back(event);
+    }
+}
+
+bool cw_gateway_control::take_leaving(const cw_leaving_note& leaving, std::string detail,
+                                      cw_boot_time now) {
+    const bool news = directory_.on_leaving(leaving.id, leaving.life);
+    if (news) {
+        note("upstream says it leaves", leaving.id, std::move(detail));
         after_upstreams(true, now);
     }
+    return news;
 }
 
 void cw_gateway_control::on(const cw_ownership_bounds& event, cw_boot_time /*now*/) {
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -59,6 +59,8 @@
     void on(const cw_stop_asked& event, cw_boot_time now);
 
     void after_upstreams(bool changed, cw_boot_time now);
+    /// An upstream says that it leaves; true when that is news.
+    bool take_leaving(const cw_leaving_note& leaving, std::string detail, cw_boot_time now);
     void add_steward(const std::string& service, cw_boot_time now);
     /// Adds a crash to the ledger of all hosts if this host keeps it; true when it does.
     bool keep_crash(const cw_crash_note& crash, cw_boot_time now);
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -320,6 +320,8 @@
             const auto seen = co_await store_.read_config(after(store_timeout));
             if (seen) {
                 take_config(*seen);
+            } else {
+                log_.info("Nor does the store.", {{"error", seen.error().text()}});
             }
         }
         // When both have failed, the next answer with the version begins anew, unless a later one
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -17,6 +17,22 @@
 std::string meter_name(const cw_upstream_entry& upstream) {
     return upstream.id + "#" + std::to_string(upstream.life);
 }
+
+/// Takes all that was noted, by service.
+template <typename Key, typename Note>
+std::map<std::string, std::vector<Note>>
+take_notes(std::map<std::string, std::unordered_map<Key, Note>>& noted) {
+    std::map<std::string, std::vector<Note>> taken;
+    for (auto& [service, notes] : noted) {
+        auto& list = taken[service];
+        list.reserve(notes.size());
+        for (auto& [key, note] : notes) {
+            list.push_back(std::move(note));
+        }
+        notes.clear();
+    }
+    return taken;
+}
 } // namespace
 
 cw_gateway_traffic::cw_gateway_traffic(const cw_gateway_options& options,
@@ -118,44 +134,28 @@
 
 void cw_gateway_traffic::count_key(const std::string& service, std::uint32_t key) {
     const std::scoped_lock lock{counts_mutex_};
-    ++counts_[service][key];
+    auto& noted = counts_[service][key];
+    noted.key = key;
+    ++noted.count;
 }
 
 std::map<std::string, std::vector<cw_key_count>> cw_gateway_traffic::take_counts() {
-    std::map<std::string, std::vector<cw_key_count>> taken;
     const std::scoped_lock lock{counts_mutex_};
-    for (auto& [service, counts] : counts_) {
-        auto& list = taken[service];
-        list.reserve(counts.size());
-        for (const auto& [key, count] : counts) {
-            list.push_back({key, count});
-        }
-        counts.clear();
-    }
-    return taken;
+    return take_notes(counts_);
 }
 
 void cw_gateway_traffic::note_speed(const std::string& service, const std::string& upstream,
                                     double seconds) {
     const std::scoped_lock lock{counts_mutex_};
-    auto& note = speeds_[service][upstream];
-    ++note.answers;
-    note.seconds += seconds;
+    auto& noted = speeds_[service][upstream];
+    noted.id = upstream;
+    ++noted.answers;
+    noted.seconds += seconds;
 }
 
 std::map<std::string, std::vector<cw_speed_note>> cw_gateway_traffic::take_speeds() {
-    std::map<std::string, std::vector<cw_speed_note>> taken;
     const std::scoped_lock lock{counts_mutex_};
-    for (auto& [service, notes] : speeds_) {
-        auto& list = taken[service];
-        list.reserve(notes.size());
-        for (auto& [id, note] : notes) {
-            note.id = id;
-            list.push_back(std::move(note));
-        }
-        notes.clear();
-    }
-    return taken;
+    return take_notes(speeds_);
 }
 
 void cw_gateway_traffic::note_leaving(const cw_leaving_note& note) {
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -104,7 +104,8 @@
     std::mt19937_64 engine_;
     std::function<void(const cw_leaving_note&)> report_leaving_;
     std::mutex counts_mutex_;
-    std::map<std::string, std::unordered_map<std::uint32_t, std::uint32_t>> counts_;
+    /// By service and key.
+    std::map<std::string, std::unordered_map<std::uint32_t, cw_key_count>> counts_;
     /// By service and upstream.
     std::map<std::string, std::unordered_map<std::string, cw_speed_note>> speeds_;
 };
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -35,18 +35,31 @@
     return {{id, 1, "10.0.0.1:1"}, capacity, true, false};
 }
 
+std::vector<cw_key_candidate> many_candidates(int count) {
+    std::vector<cw_key_candidate> list;
+    for (int i = 0; i < count; ++i) {
+        list.push_back(candidate("u" + std::to_string(i)));
+    }
+    return list;
+}
+
 std::vector<double> even_sums() {
     cw_key_load load{2s};
     return load.sums(start);
 }
 
+/// A new table whose keys are shared evenly.
+cw_key_table shared_among(const std::vector<cw_key_candidate>& candidates) {
+    cw_key_table table;
+    table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}));
+    return table;
+}
+
 /// Four candidates that own a quarter each.
 struct quartered {
     std::vector<cw_key_candidate> candidates{candidate("a"), candidate("b"), candidate("c"),
                                              candidate("d")};
-    cw_key_table table;
-
-    quartered() { table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {})); }
+    cw_key_table table = shared_among(candidates);
 
     std::map<std::string, std::uint32_t> keys() const {
         std::map<std::string, std::uint32_t> count;
@@ -141,12 +154,8 @@
 }
 
 TEST_CASE("plan_for_many_upstreams_with_few_requests_each_moves_nothing_by_chance") {
-    std::vector<cw_key_candidate> candidates;
-    for (int i = 0; i < 140; ++i) {
-        candidates.push_back(candidate("u" + std::to_string(i)));
-    }
-    cw_key_table table;
-    table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}));
+    const auto candidates = many_candidates(140);
+    auto table = shared_among(candidates);
     cw_key_load load{2s};
     std::minstd_rand engine{1};
     std::uniform_int_distribution<std::uint32_t> any_key{0, cw_last_key};
@@ -159,12 +168,8 @@
 
 TEST_CASE("plan_for_popular_neighbours_in_a_large_service_reaches_many_owners_within_seconds") {
     // 200 keys that lie side by side are asked for with 35% of 2,000 requests a second.
-    std::vector<cw_key_candidate> candidates;
-    for (int i = 0; i < 128; ++i) {
-        candidates.push_back(candidate("u" + std::to_string(i)));
-    }
-    cw_key_table table;
-    table.apply(cw_plan_key_moves(table, candidates, even_sums(), 0.0, {}));
+    const auto candidates = many_candidates(128);
+    auto table = shared_among(candidates);
     cw_key_load load{2s};
     auto now = start;
     std::mt19937 engine{5};
