Find a caller's end behind what it has sent ahead before its request is sent

What callers saw: work went on for callers that had left (GONE). Looked for the same cause elsewhere: the look asks the kernel for the next byte, and an end that stands behind bytes of later requests, which a host that is behind has not taken in yet, shows bytes and no end.

Change: the look takes in what has arrived, up to the bound that there was, and then asks again. It is one function, cw_has_caller_left(), for the look and for the watch's own handler; the look at a kept connection to an upstream asked the same question by a copy of the same call and uses cw_look_at() now.

--- a/Source/cw_call_watch.cpp
+++ b/Source/cw_call_watch.cpp
@@ -1,8 +1,7 @@
 #include "cw_call_watch.h"
 
 #include "cw_async.h"
-
-#include <sys/socket.h>
+#include "cw_caller_end.h"
 
 namespace net = boost::asio;
 
@@ -15,7 +14,8 @@
     bool caller_left = false;
     bool over = false;
 
-    bool take_ahead();
+    /// Looks for the caller's end; true when there is one.
+    bool look();
     static void listen(const std::shared_ptr<state>& known);
 
     void on_caller_left() {
@@ -30,26 +30,11 @@
     }
 };
 
-namespace {
-/// Bytes of later requests that are taken in while one is at work.
-constexpr std::size_t most_ahead = 16'384;
-
-bool has_ended(net::ip::tcp::socket& socket) {
-    char byte = 0;
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-} // namespace
-
-/// Takes in what the caller has sent; false when there is no room for it.
-bool cw_call_watch::state::take_ahead() {
-    if (ahead == nullptr || ahead->size() >= most_ahead) {
-        return false;
+bool cw_call_watch::state::look() {
+    if (!caller_left && cw_has_caller_left(*caller, *ahead)) {
+        on_caller_left();
     }
-    boost::system::error_code failure;
-    const auto room = ahead->prepare(most_ahead - ahead->size());
-    ahead->commit(caller->read_some(room, failure));
-    return !failure;
+    return caller_left;
 }
 
 /// Waits for bytes or the end of the caller's connection.
@@ -59,22 +44,20 @@
                                   if (known->over || failure) {
                                       return;
                                   }
-                                  if (has_ended(*known->caller)) {
-                                      known->on_caller_left();
-                                  } else if (known->take_ahead()) {
+                                  if (!known->look() && known->ahead->size() < cw_most_ahead) {
                                       listen(known);
                                   }
                               });
 }
 
 cw_call_watch::cw_call_watch(net::io_context& context, net::ip::tcp::socket& caller,
-                             boost::beast::flat_buffer* ahead)
+                             boost::beast::flat_buffer& ahead)
     : state_{std::make_shared<state>()},
       caller_{caller},
       alarm_{context},
       pause_{context} {
     state_->caller = &caller;
-    state_->ahead = ahead;
+    state_->ahead = &ahead;
     state::listen(state_);
 }
 
@@ -110,10 +93,7 @@
 }
 
 bool cw_call_watch::look_whether_caller_left() {
-    if (!state_->caller_left && has_ended(caller_)) {
-        state_->on_caller_left();
-    }
-    return state_->caller_left;
+    return state_->look();
 }
 
 bool cw_call_watch::has_caller_left() const {
--- a/Source/cw_call_watch.h
+++ b/Source/cw_call_watch.h
@@ -12,15 +12,14 @@
 
 /// Ends what a call waits for when its caller goes away or its time is up.
 ///
-/// Bytes that the caller sends meanwhile, such as requests behind the present one, hide its end.
-/// With a buffer they are taken in, up to a bound; without one, or beyond the bound, its end is
-/// noticed only when the answer is written.
+/// Bytes that the caller sends meanwhile, such as requests behind the present one, are taken into a
+/// buffer, up to a bound; beyond it the caller's end is noticed only when the answer is written.
 class cw_call_watch {
 public:
     /// Watches the caller until the watch is destroyed. No other operation may wait on its socket
     /// or use the buffer, which outlives the watch.
     cw_call_watch(boost::asio::io_context& context, boost::asio::ip::tcp::socket& caller,
-                  boost::beast::flat_buffer* ahead = nullptr);
+                  boost::beast::flat_buffer& ahead);
     ~cw_call_watch();
     cw_call_watch(const cw_call_watch&) = delete;
     cw_call_watch& operator=(const cw_call_watch&) = delete;
--- /dev/null
+++ b/Source/cw_caller_end.cpp
@@ -0,0 +1,21 @@
+#include "cw_caller_end.h"
+
+#include "cw_arrival.h"
+
+bool cw_has_caller_left(boost::asio::ip::tcp::socket& caller, boost::beast::flat_buffer& ahead) {
+    while (true) {
+        const auto arrived = cw_look_at(caller);
+        if (arrived != cw_arrival::bytes) {
+            return arrived == cw_arrival::end;
+        }
+        if (ahead.size() >= cw_most_ahead) {
+            return false;
+        }
+        boost::system::error_code failure;
+        const auto room = ahead.prepare(cw_most_ahead - ahead.size());
+        ahead.commit(caller.read_some(room, failure));
+        if (failure) {
+            return true;
+        }
+    }
+}
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -162,7 +162,7 @@
         prepare(current);
         cw_attempt_result result{};
         {
-            cw_call_watch watch{traffic_.context(), caller_, &buffer_};
+            cw_call_watch watch{traffic_.context(), caller_, buffer_};
             result = co_await forward(current, watch);
         }
         co_return co_await finish(current, result);
--- a/Source/cw_upstream_pool.cpp
+++ b/Source/cw_upstream_pool.cpp
@@ -1,18 +1,11 @@
 #include "cw_upstream_pool.h"
 
-#include <sys/socket.h>
+#include "cw_arrival.h"
 
 namespace {
 
 constexpr std::size_t most_idle = 128;
 
-bool is_usable(cw_upstream_pool::stream& connection) {
-    char byte = 0;
-    const auto handle = connection.native_handle();
-    const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 std::unique_ptr<cw_upstream_pool::stream> cw_upstream_pool::take(const std::string& address) {
@@ -20,7 +13,8 @@
     while (!idle.empty()) {
         auto last = std::move(idle.back());
         idle.pop_back();
-        if (std::chrono::steady_clock::now() < last.until && is_usable(*last.connection)) {
+        if (std::chrono::steady_clock::now() < last.until &&
+            cw_look_at(*last.connection) == cw_arrival::nothing) {
             return std::move(last.connection);
         }
     }
