Let the router look for its caller's end before it sends a request

An end behind requests that were sent ahead it never noticed while the first was at work.

Before: 1 request reached the upstream for 0, and 0 were cancelled for 1; after: both pass, as do the routed cases. caller_gone_before_a_router_that_is_behind_read_its_request_has_nothing_sent, caller_gone_behind_requests_sent_ahead_has_the_first_cancelled_by_the_router.

--- a/Source/cw_attempt_runner.cpp
+++ b/Source/cw_attempt_runner.cpp
@@ -3,6 +3,7 @@
 #include "cw_address.h"
 #include "cw_async.h"
 #include "cw_body_relay.h"
+#include "cw_caller_end.h"
 #include "cw_header_names.h"
 #include "cw_hop_headers.h"
 #include "cw_proxy_exchange.h"
@@ -71,6 +72,11 @@
     if (upstream == nullptr) {
         co_return cw_attempt_result::not_connected;
     }
+    // On a router that is behind, the caller's end may have arrived and not been heard yet.
+    if (current.streamed_body == nullptr && cw_has_caller_left(caller_, caller_buffer_)) {
+        traffic_.pool.put_back(current.address, std::move(upstream));
+        co_return cw_attempt_result::caller_left;
+    }
     const auto result = co_await send_and_receive(current, *upstream);
     const bool whole = result == cw_attempt_result::answered ||
                        result == cw_attempt_result::refused_busy ||
@@ -112,7 +118,7 @@
         }
         co_return co_await receive(current, upstream, waiting);
     }
-    waiting.watch(caller_);
+    waiting.watch(caller_, caller_buffer_);
     auto result = cw_attempt_result::answered;
     if (co_await send_held(current, upstream, result)) {
         result = co_await receive(current, upstream, waiting);
--- a/Source/cw_deadline_sweeper.cpp
+++ b/Source/cw_deadline_sweeper.cpp
@@ -1,8 +1,7 @@
 #include "cw_deadline_sweeper.h"
 
 #include "cw_async.h"
-
-#include <sys/socket.h>
+#include "cw_caller_end.h"
 
 namespace {
 
@@ -12,12 +11,6 @@
 /// Sweeps between two looks at the callers of requests that still wait.
 constexpr int sweeps_per_look = 8;
 
-bool has_ended(boost::asio::ip::tcp::socket& socket) {
-    char byte = 0;
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 } // namespace
 
 boost::asio::awaitable<void> cw_deadline_sweeper::run() {
@@ -39,7 +32,7 @@
 
 void cw_deadline_sweeper::look_after_callers() {
     for (auto& waiting : entries_) {
-        if (waiting.caller != nullptr && has_ended(*waiting.caller)) {
+        if (waiting.caller != nullptr && cw_has_caller_left(*waiting.caller, *waiting.ahead)) {
             waiting.caller = nullptr;
             waiting.caller_left = true;
             boost::system::error_code ignored;
--- a/Source/cw_deadline_sweeper.h
+++ b/Source/cw_deadline_sweeper.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <list>
 
 /// Cancels socket operations that have passed their deadlines, or whose caller has gone away, for
@@ -20,6 +21,7 @@
         cw_time_point deadline;
         /// The caller's connection, while its end makes the operation pointless.
         boost::asio::ip::tcp::socket* caller;
+        boost::beast::flat_buffer* ahead;
         bool caller_left;
     };
 
@@ -33,16 +35,20 @@
         guard(cw_deadline_sweeper& sweeper, boost::asio::ip::tcp::socket& socket,
               cw_time_point deadline)
             : entries_{sweeper.entries_},
-              place_{entries_.insert(entries_.end(), entry{&socket, deadline, nullptr, false})} {}
+              place_{entries_.insert(entries_.end(),
+                                     entry{&socket, deadline, nullptr, nullptr, false})} {}
         ~guard() { entries_.erase(place_); }
         guard(const guard&) = delete;
         guard& operator=(const guard&) = delete;
 
         /// Moves the deadline, for the next of several operations.
         void extend(cw_time_point deadline) { place_->deadline = deadline; }
-        /// Cancels also when the caller goes away. Bytes that it sends meanwhile (a pipelined
-        /// request) are left alone.
-        void watch(boost::asio::ip::tcp::socket& caller) { place_->caller = &caller; }
+        /// Cancels also when the caller goes away. Bytes that it sends meanwhile, such as a
+        /// pipelined request, are taken into the buffer, which outlives the guard.
+        void watch(boost::asio::ip::tcp::socket& caller, boost::beast::flat_buffer& ahead) {
+            place_->caller = &caller;
+            place_->ahead = &ahead;
+        }
         void unwatch() { place_->caller = nullptr; }
         /// True when the caller went away and the operation was cancelled.
         [[nodiscard]] bool has_caller_left() const { return place_->caller_left; }
--- a/Tests/Routing/cw_answer_test.cpp
+++ b/Tests/Routing/cw_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "cw_raw_caller.h"
 #include "cw_routed_call.h"
 
 #include <doctest/doctest.h>
@@ -125,6 +126,31 @@
     CHECK(router.shared().open_requests == 0);
 }
 
+TEST_CASE("caller_gone_before_a_router_that_is_behind_read_its_request_has_nothing_sent") {
+    cw_routed_call router{[](const std::string& request) {
+        return cw_raw_upstream::reply{whole_answer(target_of(request))};
+    }};
+    router.hold_up(150ms);
+    router.call_and_leave("/gallery/k/x", 0ms);
+    std::this_thread::sleep_for(400ms);
+    CHECK(router.upstream().requests() == 0);
+    CHECK(router.shared().open_requests == 0);
+}
+
+TEST_CASE("caller_gone_behind_requests_sent_ahead_has_the_first_cancelled_by_the_router") {
+    cw_routed_call router{[](const std::string& request) {
+        return cw_raw_upstream::reply{whole_answer(target_of(request)), false, 3s};
+    }};
+    const std::string request = "GET /gallery/k/x HTTP/1.1\r\nHost: test\r\n\r\n";
+    static_cast<void>(cw_send_raw(router.port(), {request, request, request}, 60ms, 0ms));
+    const auto until = std::chrono::steady_clock::now() + 1s;
+    while (router.upstream().cancelled() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(router.upstream().cancelled() == 1);
+    CHECK(router.upstream().requests() == 1);
+}
+
 TEST_CASE("request_read_again_after_a_lost_connection_is_answered_once_it_runs") {
     int count = 0;
     cw_routed_call router{[&count](const std::string& request) {
--- a/Tests/Routing/cw_routed_call.cpp
+++ b/Tests/Routing/cw_routed_call.cpp
@@ -103,3 +103,7 @@
     http::write(socket, make_request("POST", target, 10s));
     std::this_thread::sleep_for(after);
 }
+
+void cw_routed_call::hold_up(std::chrono::milliseconds length) {
+    net::post(thread_->traffic().context, [length] { std::this_thread::sleep_for(length); });
+}
--- a/Tests/Routing/cw_routed_call.h
+++ b/Tests/Routing/cw_routed_call.h
@@ -31,6 +31,9 @@
     /// Sends one request and goes away after a while.
     void call_and_leave(const std::string& target, std::chrono::milliseconds after);
 
+    /// Lets the thread for traffic do nothing for a while, as on a machine that is behind.
+    void hold_up(std::chrono::milliseconds length);
+
     [[nodiscard]] cw_raw_upstream& upstream() { return *upstream_; }
     [[nodiscard]] std::uint16_t port() const { return listen_.port; }
     [[nodiscard]] cw_router_shared& shared() { return shared_; }
