--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -387,7 +387,8 @@
     return all_free;
 }
 
-bool cw_steward::can_hold(const cw_key_range& range, const holder& who, cw_boot_time now) const {
+bool cw_steward::can_hold(const cw_key_range& range, const cw_key_holder& who,
+                          cw_boot_time now) const {
     // A later life under the same id proves nothing: until its entry told of it, the renewals meant
     // for the earlier life have reached it. It answers a release at once.
     if (orders_.is_replaced(who.who)) {
@@ -470,7 +471,7 @@
     }
 }
 
-void cw_steward::on_released(holder& who, const cw_order_ended& event) const {
+void cw_steward::on_released(cw_key_holder& who, const cw_order_ended& event) const {
     if (who.released_before) {
         who.work_end = event.ended + options_.longest_hold();
     } else {
@@ -590,52 +591,12 @@
 
 // -- the table
 
-cw_steward::range_state cw_steward::state_for(const cw_key_range& range) const {
-    range_state state;
-    const auto place =
-        std::partition_point(table_.ranges.begin(), table_.ranges.end(),
-                             [&](const cw_key_range& known) { return known.last < range.first; });
-    const auto& old_range = *place;
-    const auto& old = states_[static_cast<std::size_t>(place - table_.ranges.begin())];
-    auto shown = place;
-    for (; shown != table_.ranges.end() && shown->first <= range.last; ++shown) {
-        if (shown->owner == range.owner) {
-            const auto& shared = states_[static_cast<std::size_t>(shown - table_.ranges.begin())];
-            state.hold_end = std::max(state.hold_end, shared.hold_end);
-        }
-    }
-    if (old_range.fence == range.fence && old_range.owner == range.owner) {
-        state.next_order = old.next_order;
-        state.confirmed = old.confirmed;
-        state.handover = old.handover;
-    }
-    for (const auto& owner : range.before) {
-        holder who;
-        who.who = owner;
-        for (const auto& known : old.holders) {
-            if (known.who == owner) {
-                who = known;
-            }
-        }
-        if (old_range.owner == owner) {
-            who.hold_end = std::max(who.hold_end, old.hold_end);
-            who.release_fence = 0;
-            who.released_before = false;
-            who.work_end = {};
-            who.is_free = false;
-        }
-        who.next_release = {};
-        state.holders.push_back(std::move(who));
-    }
-    return state;
-}
-
 void cw_steward::adopt(const cw_key_table& table, cw_boot_time now) {
-    std::vector<range_state> states;
+    std::vector<cw_range_state> states;
     if (is_steward() || table.steward == self_) {
         states.reserve(table.ranges.size());
         for (const auto& range : table.ranges) {
-            states.push_back(state_for(range));
+            states.push_back(cw_carry_over(range, table_, states_));
         }
     } else {
         // Others need none. One that comes into office later waits for the end of all that was
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -3,6 +3,7 @@
 #include "cw_key_balance.h"
 #include "cw_order_book.h"
 #include "cw_predecessors.h"
+#include "cw_range_state.h"
 #include "cw_steward_command.h"
 #include "cw_steward_event.h"
 #include "cw_steward_options.h"
@@ -69,37 +70,7 @@
     [[nodiscard]] std::vector<cw_timeline_event> take_events();
 
 private:
-    /// An upstream that may still hold keys of a moving range.
-    struct holder {
-        cw_key_owner who;
-        /// Latest end of what this host granted.
-        cw_boot_time hold_end{};
-        cw_boot_time next_release{};
-        /// Fence of the release that was sent; 0 when none can have arrived. A second one would be
-        /// answered at once, though work that the first has found still runs.
-        std::uint64_t release_fence = 0;
-        /// True when an earlier steward may have sent a release. The answer to another one then
-        /// shows only that nothing new is held: work may run on until its lease is over.
-        bool released_before = false;
-        /// When that work has ended at the latest; the clock's beginning while it is not known.
-        cw_boot_time work_end{};
-        bool is_free = false;
-    };
-    /// What this host knows of a range beyond the table.
-    struct range_state {
-        std::vector<holder> holders;
-        std::string handover;
-        /// Latest end of what this host granted to the owner.
-        cw_boot_time hold_end{};
-        cw_boot_time next_order{};
-        /// True when the owner has confirmed a grant under the range's fence.
-        bool confirmed = false;
-        /// True when the owner has seen a higher fence.
-        bool fenced = false;
-    };
-
     void adopt(const cw_key_table& table, cw_boot_time now);
-    [[nodiscard]] range_state state_for(const cw_key_range& range) const;
     /// This host has come into office: earlier stewards may have sent any release already.
     void begin_office(cw_boot_time now);
     void follow(cw_boot_time now, commands& out);
@@ -113,7 +84,7 @@
     void probe_silent(cw_boot_time now, commands& out);
     /// True when nobody but the owner can hold the range.
     bool free_holders(std::size_t place, cw_boot_time now, commands& out);
-    [[nodiscard]] bool can_hold(const cw_key_range& range, const holder& who,
+    [[nodiscard]] bool can_hold(const cw_key_range& range, const cw_key_holder& who,
                                 cw_boot_time now) const;
     void send(cw_key_order order, commands& out);
     void plan(cw_boot_time now, commands& out);
@@ -123,7 +94,7 @@
     void on_grant_ended(const cw_key_order& order, const cw_order_ended& event, cw_boot_time now);
     void on_release_ended(const cw_key_order& order, const cw_order_ended& event);
     /// Takes a holder's own word that it has released its keys.
-    void on_released(holder& who, const cw_order_ended& event) const;
+    void on_released(cw_key_holder& who, const cw_order_ended& event) const;
     /// Shows moving ranges that are confirmed as settled, unless a write is under way.
     void settle(cw_boot_time now);
     void check_predecessors(cw_boot_time now);
@@ -149,7 +120,7 @@
     /// True while the store's copy is known as of the last call.
     bool is_read_ = false;
     /// What this host knows of the table's ranges, in their order.
-    std::vector<range_state> states_{range_state{}};
+    std::vector<cw_range_state> states_{cw_range_state{}};
     std::map<std::string, cw_upstream_entry> upstreams_;
     std::size_t most_upstreams_ = 0;
     /// When there were more upstreams than ever before.
