Take no second copy of an answer for the answer to the next order

An upstream that sends an answer twice so answered each later order on that connection with the answer to the one before it, at once: a grant counted as answered before it had arrived, and its lease as ending sooner than it does; a refusal for a fence was read as done. Callers' requests are matched by their id since long; orders bear none.

Change: a connection with bytes behind an answer is not kept, and a kept one on which anything has come since is dropped before it is used. One function keeps connections, also for an answer that ends its connection, which was kept before. What remains: a copy that comes while the next order is at work cannot be told.

--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -1,6 +1,7 @@
 #include "cw_http_client.h"
 
 #include "cw_address.h"
+#include "cw_arrival.h"
 #include "cw_async.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,12 +44,23 @@
 std::unique_ptr<cw_http_client::stream>
 cw_http_client::idle_connection(const std::string& address) {
     auto& pool = idle_[address];
-    if (pool.empty()) {
-        return nullptr;
+    while (!pool.empty()) {
+        auto connection = std::move(pool.back());
+        pool.pop_back();
+        // Bytes that came since the last answer, such as a second copy of it, belong to no call.
+        if (cw_look_at(connection->socket()) == cw_arrival::nothing) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void cw_http_client::keep(const std::string& address, std::unique_ptr<stream> connection) {
+    auto& pool = idle_[address];
+    if (pool.size() < most_idle) {
+        connection->expires_never();
+        pool.push_back(std::move(connection));
     }
-    auto connection = std::move(pool.back());
-    pool.pop_back();
-    return connection;
 }
 
 net::awaitable<cw_result<cw_http_response>> cw_http_client::request(std::string address,
@@ -64,9 +76,8 @@
         sending == cw_sending::once ? std::unique_ptr<stream>{} : idle_connection(address);
     const bool was_sent = connection != nullptr;
     if (connection) {
-        auto response = co_await try_once(*connection, address, message, deadline);
+        auto response = co_await try_once(connection, address, message, deadline);
         if (response) {
-            idle_[address].push_back(std::move(connection));
             co_return response;
         }
         // An idle connection may have been closed by the peer; only a fresh one tells how it is.
@@ -86,31 +97,27 @@
     // A call that was given up must not arrive later: its end drops what is still on the way. The
     // stream closes its socket by itself when a deadline passes, so this is set beforehand.
     connection->socket().set_option(net::socket_base::linger{true, 0}, failure);
-    auto response = co_await try_once(*connection, address, message, deadline);
-    if (response && response->keep_alive() && idle_[address].size() < most_idle) {
-        connection->expires_never();
-        idle_[address].push_back(std::move(connection));
-    }
-    co_return response;
+    co_return co_await try_once(connection, address, message, deadline);
 }
 
-net::awaitable<cw_result<cw_http_response>> cw_http_client::try_once(stream& connection,
-                                                                     const std::string& address,
-                                                                     const cw_http_request& message,
-                                                                     cw_time_point deadline) {
+net::awaitable<cw_result<cw_http_response>>
+cw_http_client::try_once(std::unique_ptr<stream>& connection, const std::string& address,
+                         const cw_http_request& message, cw_time_point deadline) {
     boost::system::error_code failure;
-    connection.expires_at(deadline);
-    bytes_ += co_await http::async_write(connection, message, cw_into(failure));
+    connection->expires_at(deadline);
+    bytes_ += co_await http::async_write(*connection, message, cw_into(failure));
     if (failure) {
         co_return failed("send", address, failure);
     }
     boost::beast::flat_buffer buffer{cw_largest_read_buffer};
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_body);
-    bytes_ += co_await http::async_read(connection, buffer, parser, cw_into(failure));
+    bytes_ += co_await http::async_read(*connection, buffer, parser, cw_into(failure));
     if (failure) {
         co_return failed("receive", address, failure);
     }
-    connection.expires_never();
+    if (parser.get().keep_alive() && !parser.get().need_eof() && buffer.size() == 0) {
+        keep(address, std::move(connection));
+    }
     co_return parser.release();
 }
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -32,7 +32,8 @@
 
 /// A pooled HTTP/1.1 client for control calls. Used from one thread.
 ///
-/// A connection that saw a timeout or an error is closed, so a late answer meets no later request.
+/// A connection that saw a timeout, an error, or bytes that belong to no call is closed, so a late
+/// or second answer meets no later request.
 class cw_http_client {
 public:
     explicit cw_http_client(boost::asio::io_context& context)
@@ -49,10 +50,11 @@
 private:
     using stream = boost::beast::tcp_stream;
 
-    boost::asio::awaitable<cw_result<cw_http_response>> try_once(stream& connection,
-                                                                 const std::string& address,
-                                                                 const cw_http_request& message,
-                                                                 cw_time_point deadline);
+    /// Makes the call on a connection, and keeps that when nothing stands behind the answer.
+    boost::asio::awaitable<cw_result<cw_http_response>>
+    try_once(std::unique_ptr<stream>& connection, const std::string& address,
+             const cw_http_request& message, cw_time_point deadline);
+    void keep(const std::string& address, std::unique_ptr<stream> connection);
     std::unique_ptr<stream> idle_connection(const std::string& address);
 
     boost::asio::io_context& context_;
--- a/Tests/Gateway/cw_order_transfer_test.cpp
+++ b/Tests/Gateway/cw_order_transfer_test.cpp
@@ -112,3 +112,73 @@
     REQUIRE(results.size() == 2);
     CHECK(results[1] == cw_order_result::unanswered);
 }
+
+namespace {
+
+/// An upstream that sends each answer twice, the second time at once or after a moment, and refuses
+/// every order but the first.
+struct repeating_upstream {
+    net::io_context context;
+    net::ip::tcp::acceptor acceptor{context, {net::ip::address_v4::loopback(), 0}};
+    cw_http_client client{context};
+    cw_platform_orders orders{client};
+    std::chrono::milliseconds pause{0};
+    int answered = 0;
+    std::vector<cw_order_result> results;
+
+    void play() {
+        net::co_spawn(context, accept(), net::detached);
+        net::co_spawn(context, send_two(), net::detached);
+        context.run_for(1s);
+    }
+
+private:
+    net::awaitable<void> accept() {
+        while (true) {
+            auto socket = co_await acceptor.async_accept(net::use_awaitable);
+            net::co_spawn(context, serve(std::move(socket)), net::detached);
+        }
+    }
+
+    net::awaitable<void> serve(net::ip::tcp::socket socket) {
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code failure;
+        while (!failure) {
+            http::request<http::string_body> order;
+            co_await http::async_read(socket, buffer, order, cw_into(failure));
+            http::response<http::string_body> answer{
+                answered++ == 0 ? http::status::ok : http::status::conflict, 11};
+            answer.prepare_payload();
+            for (int copy = 0; copy < 2 && !failure; ++copy) {
+                co_await http::async_write(socket, answer, cw_into(failure));
+                co_await cw_pause(context, pause);
+            }
+        }
+    }
+
+    net::awaitable<void> send_two() {
+        cw_key_order order;
+        order.upstream = {"u1", 1, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+        order.lease = 1s;
+        for (int i = 0; i < 2; ++i) {
+            const auto ended =
+                co_await orders.send(order, std::chrono::steady_clock::now() + 300ms);
+            results.push_back(ended.result);
+            co_await cw_pause(context, 80ms);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(repeating_upstream,
+                  "second_copy_of_an_answer_is_never_taken_for_the_next_orders") {
+    SUBCASE("at once") {}
+    SUBCASE("later") {
+        pause = 20ms;
+    }
+    play();
+    REQUIRE(results.size() == 2);
+    CHECK(results[0] == cw_order_result::done);
+    CHECK(results[1] == cw_order_result::fenced);
+}
