--- a/Source/cw_gateway_settings.cpp
+++ b/Source/cw_gateway_settings.cpp
@@ -102,9 +102,6 @@
 /// Time by which the weakest machine lets others claim an office first.
 constexpr double longest_claim_delay_ms = 300.0;
 
-/// Renewals a second that a whole core carries beside the rest of a steward's work.
-constexpr double renewals_of_a_core = 10'000.0;
-
 std::chrono::milliseconds claim_delay_for(double strength) {
     const auto lack = std::clamp(1.0 - strength / steward_strength, 0.0, 1.0);
     return std::chrono::milliseconds{std::llround(longest_claim_delay_ms * lack)};
@@ -136,9 +133,6 @@
     ownership.tenure = settings.seconds("longest_lease_s", ownership.tenure);
     ownership.lease = std::min(ownership.lease, ownership.tenure);
     ownership.claim_delay = claim_delay_for(options.strength());
-    if (options.strength() > 0.0) {
-        ownership.most_renewals = options.strength() * renewals_of_a_core;
-    }
     if (!settings.mistakes().empty()) {
         return tl::unexpected(settings.mistakes());
     }
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -331,7 +331,7 @@
     order.fence = range.fence;
     order.lease = options_.lease;
     order.handover = state.confirmed ? std::string{} : state.handover;
-    state.next_order = now + options_.renewal_of(table_.ranges.size());
+    state.next_order = now + options_.renewal;
     send(std::move(order), out);
 }
 
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -2,20 +2,14 @@
 
 #include "cw_key_planner.h"
 
-#include <algorithm>
 #include <chrono>
-#include <cstddef>
 
 /// Intervals and bounds of key ownership. docs/PLATFORM.md derives them.
 struct cw_steward_options {
     /// Length of a lease, counted by the upstream from the arrival of the grant.
     std::chrono::milliseconds lease{1'000};
-    /// Least interval between two renewals of one range.
+    /// Interval between two renewals of one range.
     std::chrono::milliseconds renewal{280};
-    /// Longest such interval: three more tries fit into the rest of the lease.
-    std::chrono::milliseconds longest_renewal{500};
-    /// Renewals a second from which the interval grows with the number of ranges.
-    double most_renewals = 5'000.0;
     /// Pause before an order that failed is sent again.
     std::chrono::milliseconds order_retry{40};
     /// Interval at which a release without an answer is sent again.
@@ -62,13 +56,6 @@
     double clock_error = 0.04;
     cw_key_plan_options plan;
 
-    /// Interval between two renewals of one of so many ranges. The load that it answers: more
-    /// ranges than the steward's machine can renew at the least interval.
-    [[nodiscard]] std::chrono::milliseconds renewal_of(std::size_t ranges) const {
-        const std::chrono::duration<double> needed{static_cast<double>(ranges) / most_renewals};
-        return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(needed), renewal,
-                          longest_renewal);
-    }
     /// Longest time for which a grant may be in force after it has arrived.
     [[nodiscard]] std::chrono::milliseconds longest_hold() const {
         return lease + std::chrono::duration_cast<std::chrono::milliseconds>(lease * clock_error);
