--- a/Tests/Waiting/cw_call_watch_test.cpp
+++ b/Tests/Waiting/cw_call_watch_test.cpp
@@ -1,6 +1,5 @@
 #include "cw_call_watch.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
