Send grants only on connections on which the upstream has answered

Cause: the steward gives a grant up after 120 ms, resets its connection and counts the lease from that moment. On a new connection this bounds nothing. An upstream that is overloaded takes new connections late; the grant waits with the connection at its operating system. The reset is lost in the cut, and on Linux it does not even withdraw what has arrived: the upstream takes the connection, executes the grant, and its lease of 1 s begins up to half a second after its steward has stopped counting on it.

Change: a grant goes on an idle connection, on which the upstream has answered before. If there is none, a probe without effect opens one; a grant whose probe fails was not sent, which is true. The client keeps as many idle connections a peer as a steward has commands to one. Ruled out: a longer wait after unanswered grants (no bound is known for it), and keeping the connection open for the answer (keys of a lost upstream would be away for longer).

The log now says at which step a command failed and after how many milliseconds. In cw_command_transfer_test the upstream answers probes; its checks are unchanged.

Cost at 4,700 hosts: one probe for each new connection of a steward to an upstream, which it keeps while it renews.

--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -10,6 +10,7 @@
 #include "cw_http_client.h"
 #include "cw_kernel.h"
 #include "cw_log.h"
+#include "cw_ownership_sender.h"
 #include "cw_spawn.h"
 #include "cw_timeline.h"
 
@@ -35,7 +36,8 @@
                  [this](const cw_error& error, std::uint64_t revision) {
                      log_rejected_object(error, revision);
                  }},
-          command_sender_{command_http_},
+          port_sender_{command_http_},
+          command_sender_{port_sender_},
           feed_{context, options, store_, self.address,
                 [this](cw_control_event event) { deliver(std::move(event)); }},
           sync_{context,
@@ -145,6 +147,7 @@
         // Only a release waits for requests that are running.
         const bool is_release = command.type == cw_ownership_command::kind::release;
         const std::string kind_name = cw_ownership_command::kind_name(command.type);
+        const auto sent_at = cw_boot_clock::now();
         const auto outcome = co_await command_sender_.send(
             command, deadline_in(is_release ? release_timeout : grant_timeout));
         traffic_.metrics().increment(kind_name + "s");
@@ -155,7 +158,11 @@
                        {"first", std::to_string(command.first)},
                        {"last", std::to_string(command.last)},
                        {"fence", std::to_string(command.fence)},
-                       {"result", std::to_string(static_cast<int>(outcome.result))}});
+                       {"result", std::to_string(static_cast<int>(outcome.result))},
+                       {"reason", outcome.failure},
+                       {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                                 outcome.ended_at - sent_at)
+                                                 .count())}});
         }
         deliver(cw_ownership_event{command.service, outcome});
     }
@@ -195,7 +202,8 @@
     cw_http_client store_http_;
     cw_http_client command_http_;
     typename Port::store store_;
-    typename Port::command_sender command_sender_;
+    typename Port::command_sender port_sender_;
+    cw_ownership_sender<typename Port::command_sender> command_sender_;
     std::shared_ptr<const cw_gateway_view> view_;
     /// "name@revision" of rejected objects that have been logged.
     std::set<std::string> logged_rejections_;
--- a/Source/cw_gateway_port.h
+++ b/Source/cw_gateway_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_call_deadlines.h"
+#include "cw_connection_choice.h"
 #include "cw_control_event.h"
 #include "cw_error.h"
 #include "cw_gateway_dialect.h"
@@ -51,9 +52,10 @@
 /// Sends ownership commands for keys to upstreams.
 template <typename CommandSender>
 concept cw_gateway_command_sender = requires(CommandSender& command_sender,
-                                             cw_ownership_command command, cw_time_point deadline) {
+                                             cw_ownership_command command, cw_time_point deadline,
+                                             cw_connection_choice choice) {
     {
-        command_sender.send(command, deadline)
+        command_sender.send(command, deadline, choice)
         } -> std::same_as<boost::asio::awaitable<cw_ownership_command_ended>>;
 };
 
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -15,11 +15,14 @@
 namespace {
 /// Limit of a response body. A list is sent in pages of at most a quarter of this.
 constexpr std::uint64_t max_body_bytes = 4'000'000;
-constexpr std::size_t max_idle_connections = 4;
+/// As many as a steward has commands to one upstream.
+constexpr std::size_t max_idle_connections = 8;
 /// Error steps of a failed connect. step_reconnect means that the request had already been sent on
 /// a pooled connection, so the peer may have received it.
 constexpr const char* step_connect = "connect";
 constexpr const char* step_reconnect = "connect again";
+/// Error step of a request for which no connection was idle.
+constexpr const char* step_take_idle = "take an idle connection";
 
 tl::unexpected<cw_error> failed(const char* step, const std::string& peer,
                                 const boost::system::error_code& failure) {
@@ -33,7 +36,7 @@
 }
 
 bool cw_was_never_sent(const cw_error& error) {
-    return error.step == step_connect;
+    return error.step == step_connect || error.step == step_take_idle;
 }
 
 bool cw_is_response_too_large(const cw_error& error) {
@@ -75,30 +78,33 @@
 net::awaitable<cw_result<cw_http_response>> cw_http_client::request(std::string address,
                                                                     cw_http_request message,
                                                                     cw_time_point deadline,
-                                                                    cw_resend_policy resend) {
-    return request_within(std::move(address), std::move(message), {deadline, deadline}, resend);
+                                                                    cw_connection_choice choice) {
+    return request_within(std::move(address), std::move(message), {deadline, deadline}, choice);
 }
 
 net::awaitable<cw_result<cw_http_response>>
 cw_http_client::request(std::string address, cw_http_request message, cw_call_deadlines deadlines) {
     return request_within(std::move(address), std::move(message), deadlines,
-                          cw_resend_policy::on_broken_connection);
+                          cw_connection_choice::idle_or_new);
 }
 
 net::awaitable<cw_result<cw_http_response>>
 cw_http_client::request_within(std::string address, cw_http_request message,
-                               cw_call_deadlines deadlines, cw_resend_policy resend) {
+                               cw_call_deadlines deadlines, cw_connection_choice choice) {
     const auto endpoint = cw_address::parse(address);
     if (!endpoint) {
         co_return tl::unexpected(cw_error{step_connect, address, "not an IP:port"});
     }
     message.prepare_payload();
-    auto connection = resend == cw_resend_policy::never ? std::unique_ptr<stream>{}
-                                                        : take_idle_connection(address);
+    auto connection = choice == cw_connection_choice::only_new ? std::unique_ptr<stream>{}
+                                                               : take_idle_connection(address);
     const bool was_sent = connection != nullptr;
+    if (!was_sent && choice == cw_connection_choice::only_idle) {
+        co_return tl::unexpected(cw_error{step_take_idle, address, "none is idle"});
+    }
     if (connection) {
         auto response = co_await try_once(connection, address, message, deadlines);
-        if (response) {
+        if (response || choice == cw_connection_choice::only_idle) {
             co_return response;
         }
         // The peer may have closed the idle connection. Only a new connection shows whether the
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_call_deadlines.h"
+#include "cw_connection_choice.h"
 #include "cw_error.h"
 #include "cw_http_message.h"
 #include "cw_time.h"
@@ -23,15 +24,6 @@
 /// True when a call failed because the response body exceeds the limit of control calls.
 [[nodiscard]] bool cw_is_response_too_large(const cw_error& error);
 
-/// Whether a request is sent again when a pooled connection breaks.
-enum class cw_resend_policy {
-    /// Sends the request once more on a new connection. A pooled connection breaks, for example,
-    /// when the peer has closed it; the peer may receive the request twice.
-    on_broken_connection,
-    /// Sends the request at most once, on a new connection.
-    never
-};
-
 /// An HTTP/1.1 client with a connection pool, for control calls. Not thread-safe.
 ///
 /// A connection is closed after a timeout, an error, or bytes that belong to no request, so that a
@@ -46,7 +38,7 @@
     /// failed. A call fails at the deadline at the latest.
     boost::asio::awaitable<cw_result<cw_http_response>>
     request(std::string address, cw_http_request message, cw_time_point deadline,
-            cw_resend_policy resend = cw_resend_policy::on_broken_connection);
+            cw_connection_choice choice = cw_connection_choice::idle_or_new);
 
     /// The same for requests that may be repeated: one on a reused connection that brings no byte
     /// of the response in time is sent once more on a new connection.
@@ -62,7 +54,7 @@
     boost::asio::awaitable<cw_result<cw_http_response>> request_within(std::string address,
                                                                        cw_http_request message,
                                                                        cw_call_deadlines deadlines,
-                                                                       cw_resend_policy resend);
+                                                                       cw_connection_choice choice);
     /// Sends the request on a connection and reads the response. The connection returns to the pool
     /// when the peer keeps it open and no bytes follow the response.
     boost::asio::awaitable<cw_result<cw_http_response>>
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -11,8 +11,6 @@
 constexpr auto confirm_interval = 1'500ms;
 /// Time after which settled moves that are missing from the store's copy are written.
 constexpr auto save_delay = 1'000ms;
-/// Lower than every fence that moves keys, so that a probe which arrives late releases no key.
-constexpr std::uint64_t min_fence = 1;
 /// Added to the last fence when an owner has refused a grant because it has seen a higher fence.
 constexpr std::uint64_t fence_increment = 64;
 /// More than the fences that can be assigned in the time that one older copy of the store lacks.
@@ -438,13 +436,7 @@
             !pending_commands_.start_probe(upstream, now)) {
             continue;
         }
-        cw_ownership_command command;
-        command.type = cw_ownership_command::kind::probe;
-        command.upstream = upstream;
-        command.first = other_range->first;
-        command.last = other_range->first;
-        command.fence = min_fence;
-        send_command(std::move(command), out);
+        send_command(cw_ownership_command::probe(upstream, other_range->first), out);
     }
 }
 
--- a/Source/cw_steward_command.h
+++ b/Source/cw_steward_command.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 
 /// Outputs of cw_steward, which the program around it executes.
@@ -34,6 +35,18 @@
     /// Token that the keys' last holder returned when it released them; may be empty.
     std::string handover;
 
+    /// A command without effect, whenever it is executed, whose answer shows that the upstream
+    /// executes commands: it releases one key under a fence lower than all that move keys.
+    [[nodiscard]] static cw_ownership_command probe(cw_key_owner upstream, std::uint32_t key) {
+        constexpr std::uint64_t lowest_fence = 1;
+        cw_ownership_command command;
+        command.type = kind::probe;
+        command.upstream = std::move(upstream);
+        command.first = key;
+        command.last = key;
+        command.fence = lowest_fence;
+        return command;
+    }
     /// Name of the kind, for logs and counters.
     [[nodiscard]] static constexpr const char* kind_name(kind type) {
         return type == kind::grant ? "grant" : type == kind::release ? "release" : "probe";
--- a/Source/cw_steward_event.h
+++ b/Source/cw_steward_event.h
@@ -18,7 +18,7 @@
     fenced,
     /// Another upstream answers at the address, so the addressed one has ended.
     other_upstream,
-    /// No connection was established, so the command did not arrive.
+    /// The command was not sent, since no connection was open to the upstream.
     not_sent,
     /// No answer; the command may have arrived at any time until `ended_at`.
     unanswered
@@ -31,6 +31,8 @@
     std::string handover;
     /// When the answer arrived or the connection was reset.
     cw_boot_time ended_at{};
+    /// Step and reason of a call that failed, for the log; empty if the upstream answered.
+    std::string failure;
 };
 /// How a read or a write of a key table ended.
 enum class cw_table_result {
--- a/Tests/Gateway/cw_command_transfer_test.cpp
+++ b/Tests/Gateway/cw_command_transfer_test.cpp
@@ -1,5 +1,6 @@
 #include "cw_async.h"
 #include "cw_http_client.h"
+#include "cw_ownership_sender.h"
 #include "cw_platform_command_sender.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,12 +24,13 @@
 
 /// An upstream that executes a first command and answers it, then executes a second one and resets
 /// its connection instead of an answer. It then stops listening, or keeps listening and would
-/// execute a third command.
+/// execute a third command. It answers probes.
 struct disconnecting_upstream {
     net::io_context context;
     net::ip::tcp::acceptor acceptor{context, {net::ip::address_v4::loopback(), 0}};
     cw_http_client client{context};
-    cw_platform_command_sender command_sender{client};
+    cw_platform_command_sender port_sender{client};
+    cw_ownership_sender<cw_platform_command_sender> command_sender{port_sender};
     cw_ownership_command::kind second_type = cw_ownership_command::kind::grant;
     bool closes_acceptor = true;
     int executed = 0;
@@ -43,23 +45,43 @@
 private:
     net::awaitable<void> serve() {
         auto socket = co_await acceptor.async_accept(net::use_awaitable);
-        boost::beast::flat_buffer buffer;
-        http::request<http::string_body> command;
-        co_await http::async_read(socket, buffer, command, net::use_awaitable);
+        boost::system::error_code failure;
+        co_await read_command(socket, failure);
+        if (failure) {
+            co_return;
+        }
         ++executed;
-        http::response<http::string_body> done{http::status::ok, 11};
-        done.prepare_payload();
-        co_await http::async_write(socket, done, net::use_awaitable);
+        co_await answer(socket, failure);
         net::co_spawn(context, reset_all_connections(), net::detached);
         co_await execute_and_reset(socket);
     }
 
+    static net::awaitable<void> answer(net::ip::tcp::socket& socket,
+                                       boost::system::error_code& failure) {
+        http::response<http::string_body> done{http::status::ok, 11};
+        done.prepare_payload();
+        co_await http::async_write(socket, done, cw_redirect_error(failure));
+    }
+
+    /// Reads the next command that is no probe, and answers the probes before it.
+    static net::awaitable<void> read_command(net::ip::tcp::socket& socket,
+                                             boost::system::error_code& failure) {
+        boost::beast::flat_buffer buffer;
+        bool is_probe = true;
+        while (is_probe && !failure) {
+            http::request<http::string_body> command;
+            co_await http::async_read(socket, buffer, command, cw_redirect_error(failure));
+            is_probe = command.body().find("\"fence\":1,") != std::string::npos;
+            if (is_probe && !failure) {
+                co_await answer(socket, failure);
+            }
+        }
+    }
+
     /// Executes a command and resets its connection.
     net::awaitable<void> execute_and_reset(net::ip::tcp::socket& socket) {
-        boost::beast::flat_buffer buffer;
-        http::request<http::string_body> command;
         boost::system::error_code failure;
-        co_await http::async_read(socket, buffer, command, cw_redirect_error(failure));
+        co_await read_command(socket, failure);
         if (failure) {
             co_return;
         }
@@ -88,6 +110,7 @@
         command.upstream = {"u1", 1,
                             "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
         command.lease = 1s;
+        command.fence = 7;
         for (int i = 0; i < 2; ++i) {
             command.type = i == 0 ? cw_ownership_command::kind::grant : second_type;
             const auto ended =
@@ -126,7 +149,8 @@
     net::io_context context;
     net::ip::tcp::acceptor acceptor{context, {net::ip::address_v4::loopback(), 0}};
     cw_http_client client{context};
-    cw_platform_command_sender command_sender{client};
+    cw_platform_command_sender port_sender{client};
+    cw_ownership_sender<cw_platform_command_sender> command_sender{port_sender};
     std::chrono::milliseconds pause{0};
     int answered = 0;
     std::vector<cw_ownership_command_result> results;
