Refuse requests that may outlast a planned stop before they are passed on

What callers saw, by the report of other operators: in a planned stop of one host, requests that came late in the grace period were passed on and cut without an answer at its end, among them requests that must not be repeated.

Cause: nothing compared a request's time limit with what was left of the grace period. New connections are taken for 2.3 s after SIGTERM, and one may still send a slow body after that; a request with a limit of 4 s that was passed on then had 3.2 s before the process ended, without an answer.

Change: the gateway refuses (503, not run, Retry-After 20 to 30 ms) a request whose limit ends after the process if it is not idempotent, or if twice its route's target does not fit. The others have their deadline set to the end of the process, so that they get an answer. A host that knows of no other host passes requests on.

Not covered: a request that was passed on before SIGTERM and whose limit ends after the process is still cut at the end without an answer. The product's own router waits 60 s by default and is not changed.

The test fixture has one more route, /long/; no case that stood before is changed.

--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -77,6 +77,8 @@
     static constexpr milliseconds deregistration_delay{2'300};
     /// Part of the grace period that is reserved for the exit of the process.
     static constexpr milliseconds exit_reserve{500};
+    /// Part of the grace period before that in which the last answers are written.
+    static constexpr milliseconds answer_reserve{100};
     /// Interval at which a stopping process checks for open requests.
     static constexpr milliseconds stop_poll_interval{20};
     static constexpr milliseconds settings_poll_interval{1'000};
@@ -172,7 +174,9 @@
     boost::asio::awaitable<void> shut_down_gracefully() {
         const auto until = std::chrono::steady_clock::now() + options_.stop_grace - exit_reserve;
         stopping_ = true;
-        log_.info("Stopping.", {{"host", options_.host}});
+        traffic_.set_answers_until(until - answer_reserve);
+        log_.info("Stopping.", {{"host", options_.host},
+                                {"grace_ms", std::to_string(options_.stop_grace.count())}});
         io_.deliver(cw_stop_requested{});
         co_await cw_pause(context_, deregistration_delay);
         boost::asio::post(traffic_.context(), [this] { stop_accepting(); });
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -53,6 +53,10 @@
     static constexpr milliseconds min_time_left{20};
     /// Retry-after time while no configuration is known.
     static constexpr milliseconds unready_retry_after{500};
+    /// Retry-after time of a request that another host should serve, because this one stops.
+    static constexpr milliseconds stopping_retry_after{20};
+    /// Multiple of the target latency within which an idempotent request is expected to end.
+    static constexpr int expected_target_multiple = 2;
     /// Maximum time for sending the answer to a rejected request and reading the rest of it.
     static constexpr milliseconds linger_time{500};
     /// Failed connects that do not count as attempts, for services without keys.
@@ -166,6 +170,12 @@
         }
         exchange.service = traffic_.choose_service(*exchange.route);
         prepare_request(exchange);
+        if (is_too_late_before_stop(exchange)) {
+            exchange.reason = "this host stops before the request has surely ended";
+            exchange.retry_after = stopping_retry_after;
+            co_return co_await send_refusal(exchange);
+        }
+        exchange.deadline = std::min(exchange.deadline, traffic_.answers_until());
         cw_attempt_result result{};
         {
             cw_call_watch watch{traffic_.context(), caller_, buffer_};
@@ -199,6 +209,18 @@
         traffic_.retry_budget(exchange.service).on_request();
     }
 
+    /// True if the request may still run when this process ends, so that another host should serve
+    /// it. An idempotent one may be sent there afterwards as well, and is refused only if it is not
+    /// expected to end in time.
+    [[nodiscard]] bool is_too_late_before_stop(const cw_gateway_exchange& exchange) const {
+        const auto until = traffic_.answers_until();
+        if (exchange.deadline <= until || exchange.view->hosts == 1) {
+            return false;
+        }
+        return !exchange.route->repeatable ||
+               exchange.started + expected_target_multiple * exchange.route->target > until;
+    }
+
     /// Makes attempts until the request is answered or must not be sent again.
     boost::asio::awaitable<cw_attempt_result> forward(cw_gateway_exchange& exchange,
                                                       cw_call_watch& watch) {
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -76,6 +76,11 @@
     /// `slack` the number of tokens that may be saved up. Safe to call from any thread.
     void set_retry_budget(double share, double slack);
 
+    /// Latest time at which this process answers requests; the maximum until a stop is requested.
+    /// Safe to call from any thread.
+    [[nodiscard]] cw_time_point answers_until() const { return answers_until_; }
+    void set_answers_until(cw_time_point until) { answers_until_ = until; }
+
     /// Counts a request for a key, for take_counts().
     void count_key(const std::string& service, std::uint32_t key);
     /// Returns the requests per key since the last call, by service, and clears the counts. Safe to
@@ -118,6 +123,7 @@
     std::unordered_map<std::string, cw_upstream_stats> stats_;
     std::map<std::string, cw_retry_budget> retry_budgets_;
     std::uint32_t host_count_ = 0;
+    std::atomic<cw_time_point> answers_until_{cw_time_point::max()};
     /// Current weights of the weighted round robin, by route and service.
     std::map<std::string, std::map<std::string, double>> current_weights_;
     std::mt19937_64 engine_;
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -33,8 +33,12 @@
     limits.max_body_bytes = 10'000;
     limits.header_timeout = 400ms;
     limits.idle_timeout = 1s;
+    auto long_route = route("long", true);
+    long_route.parts = {{"safe", 1}};
+    long_route.timeout = 4s;
+    long_route.target = 200ms;
     auto config = cw_site_config::make(
-        1, limits, {route("safe", true), route("order", false), route("key", true)},
+        1, limits, {route("safe", true), route("order", false), route("key", true), long_route},
         {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
     if (!config) {
         throw std::logic_error(config.error().text());
@@ -127,6 +131,15 @@
     net::post(traffic_.context(), [duration] { std::this_thread::sleep_for(duration); });
 }
 
+void cw_gateway_fixture::stop_after(std::chrono::milliseconds length) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->hosts = 2;
+    view->stopping = true;
+    view_ = view;
+    traffic_.publish(view);
+    traffic_.set_answers_until(std::chrono::steady_clock::now() + length);
+}
+
 std::vector<cw_leaving_notice> cw_gateway_fixture::leaving_notices() {
     const std::scoped_lock lock{leaving_mutex_};
     return leaving_notices_;
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -14,9 +14,10 @@
 
 /// Runs the traffic part of a gateway in this process, in front of scripted raw upstreams.
 ///
-/// The host name "shop.example" has three routes: /safe/ (idempotent), /order/ (not idempotent) and
-/// /key/ (keyed). Each upstream serves all three services. The upstreams have the ids u0, u1 and so
-/// on; u0 owns all keys at first.
+/// The host name "shop.example" has four routes: /safe/ (idempotent), /long/ (the same with a time
+/// limit of many times its target latency), /order/ (not idempotent) and /key/ (keyed). Each
+/// upstream serves all three services. The upstreams have the ids u0, u1 and so on; u0 owns all
+/// keys at first.
 class cw_gateway_fixture {
 public:
     explicit cw_gateway_fixture(std::vector<cw_raw_upstream::script> upstreams);
@@ -34,6 +35,8 @@
     void clear_config();
     /// Blocks the traffic thread for the duration, as on an overloaded machine.
     void block_traffic(std::chrono::milliseconds duration);
+    /// Requests a stop of the process, which ends after the given time, while other hosts go on.
+    void stop_after(std::chrono::milliseconds length);
     /// Notices of leaving upstreams that the traffic reported.
     [[nodiscard]] std::vector<cw_leaving_notice> leaving_notices();
     /// Sends one request with the given header fields and returns all bytes received.
