--- a/Tests/Gateway/cw_steward_schedule.cpp
+++ b/Tests/Gateway/cw_steward_schedule.cpp
@@ -6,17 +6,27 @@
 
 namespace {
 constexpr int fault_count = 12;
+constexpr int host_count = 4;
+constexpr int upstream_count = 6;
+
+std::string host_name(int number) {
+    return "h" + std::to_string(number);
+}
+
+std::string upstream_name(int number) {
+    return "u" + std::to_string(number);
+}
 } // namespace
 
 cw_steward_schedule::cw_steward_schedule(std::uint64_t seed, faults kinds)
     : kinds_{kinds},
       engine_{seed},
       simulation_{seed} {
-    for (int i = 0; i < 4; ++i) {
-        simulation_.start_host("h" + std::to_string(i));
+    for (int i = 0; i < host_count; ++i) {
+        simulation_.start_host(host_name(i));
     }
-    for (int i = 0; i < 6; ++i) {
-        simulation_.start_upstream("u" + std::to_string(i));
+    for (int i = 0; i < upstream_count; ++i) {
+        simulation_.start_upstream(upstream_name(i));
     }
     simulation_.run(3s);
 }
@@ -34,11 +44,11 @@
 }
 
 std::string cw_steward_schedule::random_host() {
-    return "h" + std::to_string(engine_() % 4);
+    return host_name(static_cast<int>(engine_() % host_count));
 }
 
 std::string cw_steward_schedule::random_upstream() {
-    return "u" + std::to_string(engine_() % 6);
+    return upstream_name(static_cast<int>(engine_() % upstream_count));
 }
 
 bool cw_steward_schedule::is_running(const std::string& host) const {
@@ -48,8 +58,11 @@
 
 void cw_steward_schedule::inject_fault() {
     constexpr std::uint64_t restore_share = 5;
+    constexpr std::uint64_t domain_cut_share = 3;
     if (kinds_ == faults::with_restores && engine_() % restore_share == 0) {
         restore_store();
+    } else if (kinds_ == faults::with_domain_cuts && engine_() % domain_cut_share == 0) {
+        cut_domain();
     } else {
         inject_basic_fault();
     }
@@ -64,6 +77,27 @@
     simulation_.set_store_down(false);
 }
 
+void cw_steward_schedule::cut_domain() {
+    simulation_.reconnect_all();
+    const auto domain = static_cast<int>(engine_() % host_count);
+    const auto is_inside = [domain](int number) { return number % host_count == domain; };
+    for (int host = 0; host < host_count; ++host) {
+        for (int other = 0; other < host; ++other) {
+            if (is_inside(host) != is_inside(other)) {
+                simulation_.disconnect(host_name(host), host_name(other));
+            }
+        }
+        for (int upstream = 0; upstream < upstream_count; ++upstream) {
+            if (is_inside(host) != is_inside(upstream)) {
+                simulation_.disconnect(host_name(host), upstream_name(upstream));
+            }
+        }
+    }
+    if (engine_() % 2 == 0) {
+        simulation_.disconnect(host_name(domain), "store");
+    }
+}
+
 void cw_steward_schedule::inject_basic_fault() {
     const auto host = random_host();
     switch (engine_() % 15) {
@@ -114,9 +148,9 @@
         simulation_.drain_upstream(random_upstream());
         break;
     default:
-        for (int i = 0; i < 4; ++i) {
-            if (!is_running("h" + std::to_string(i))) {
-                simulation_.start_host("h" + std::to_string(i));
+        for (int i = 0; i < host_count; ++i) {
+            if (!is_running(host_name(i))) {
+                simulation_.start_host(host_name(i));
             }
         }
     }
--- a/Tests/Gateway/cw_steward_schedule.h
+++ b/Tests/Gateway/cw_steward_schedule.h
@@ -13,7 +13,9 @@
     enum class faults {
         basic,
         /// Also a store that comes back from an older copy.
-        with_restores
+        with_restores,
+        /// Also failure domains that are cut off from the others, each with its host and upstreams.
+        with_domain_cuts
     };
 
     explicit cw_steward_schedule(std::uint64_t seed, faults kinds = faults::basic);
@@ -31,6 +33,8 @@
     void inject_basic_fault();
     /// The store is away for a moment and comes back from an older copy.
     void restore_store();
+    /// Cuts one failure domain off from all others, and at random from the store; ends other cuts.
+    void cut_domain();
 
     faults kinds_;
     std::mt19937_64 engine_;
--- a/Tests/Gateway/cw_steward_schedule_main.cpp
+++ b/Tests/Gateway/cw_steward_schedule_main.cpp
@@ -1,9 +1,9 @@
 /// Runs random fault schedules against the gateway's key ownership:
 ///
-///     cw_steward_schedules [--restores] SEED [COUNT]
+///     cw_steward_schedules [--restores | --domain-cuts] SEED [COUNT]
 ///
 /// Without COUNT, one schedule is run and its decisions are printed. With --restores, the store
-/// also comes back from older copies.
+/// also comes back from older copies. With --domain-cuts, failure domains are also cut off.
 
 #include "cw_steward_schedule.h"
 
@@ -18,9 +18,12 @@
     if (!words.empty() && words.front() == "--restores") {
         faults = cw_steward_schedule::faults::with_restores;
         words.erase(words.begin());
+    } else if (!words.empty() && words.front() == "--domain-cuts") {
+        faults = cw_steward_schedule::faults::with_domain_cuts;
+        words.erase(words.begin());
     }
     if (words.empty()) {
-        std::cerr << "usage: cw_steward_schedules [--restores] SEED [COUNT]\n";
+        std::cerr << "usage: cw_steward_schedules [--restores | --domain-cuts] SEED [COUNT]\n";
         return 2;
     }
     const auto first = std::strtoull(words[0].c_str(), nullptr, 10);
