--- a/Tests/Gateway/cw_steward_work_test.cpp
+++ b/Tests/Gateway/cw_steward_work_test.cpp
@@ -54,7 +54,8 @@
         const auto number = unanswered.front().number;
         unanswered.erase(unanswered.begin());
         cw_steward::commands out;
-        steward.on_command_ended({number, cw_ownership_command_result::done, "", now, ""}, now, out);
+        steward.on_command_ended({number, cw_ownership_command_result::done, "", now, ""}, now,
+                                 out);
         return execute(out);
     }
 
