Bound the memory of all answers together, and let the upstream that sends most pay

Callers saw their requests end with the host: an upstream that sent bytes without end took a host out of memory, although each answer is cut at 8 MB. Nothing bounded what all answers that are being read hold together; forty callers at once of one such upstream took 302 MB on, ten took 145 MB, and hosts have 160 to 512 MB.

A fifth of the memory that the settings name (memory_mb, new) may hold answers that are being received or written. Beyond it the upstream whose answers hold the most loses its largest, so the callers of others do not pay. An answer counts until it is written, so callers that do not read are bounded too. An upstream whose answer was cut for its size gets no request for 0.5 to 2 s, and its keys are refused at once (503, did not run) instead of being sent to it by the next request. Answers to ownership commands, of which many are awaited at once, may have 16 KiB instead of 4 MB. A call of the control client can have a limit of its own, and its error says whether an answer had begun.

Cost at 4,700 nodes: none in messages or calls; a list entry and two additions for each answer.

Evidence: cw_endless_test.cpp, five new cases, with sixty callers of two such upstreams: the process stays below 160 MB, all answers together below the limit.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -35,7 +35,11 @@
     boost::asio::awaitable<cw_attempt_result> run(cw_gateway_exchange& exchange) {
         const auto started_at = now();
         upstream_stats(exchange).on_sent();
+        is_oversized_ = false;
         const auto result = co_await send_and_receive(exchange);
+        if (result != cw_attempt_result::answered) {
+            exchange.answer_buffer.reset();
+        }
         record_result(exchange, result, now() - started_at);
         co_return result;
     }
@@ -90,7 +94,10 @@
             stats.on_ignored_result();
             break;
         default:
-            if (was_shed(result, latency)) {
+            if (is_oversized_) {
+                stats.on_oversized_answer(boot_now);
+                traffic_.metrics().increment("oversized_answers");
+            } else if (was_shed(result, latency)) {
                 stats.on_shed(boot_now);
             } else {
                 stats.on_failure(boot_now);
@@ -196,20 +203,31 @@
                                                              std::unique_ptr<stream>& connection) {
         namespace http = boost::beast::http;
         boost::beast::flat_buffer buffer{cw_max_read_buffer};
+        exchange.answer_buffer = std::make_unique<cw_buffer_budget::buffer>(
+            traffic_.answer_budget(), exchange.upstream.id);
         for (int mismatched_count = 0; mismatched_count <= max_mismatched_answers;
              ++mismatched_count) {
+            exchange.answer_buffer->on_eviction([&socket = *connection] {
+                boost::system::error_code ignored;
+                socket.close(ignored);
+            });
             answer_parser parser;
             parser.body_limit(max_body_bytes);
             parser.header_limit(max_header_bytes);
             parser.skip(exchange.request.method() == http::verb::head);
-            const auto failure = co_await read_answer(*connection, buffer, parser);
+            const auto failure =
+                co_await read_answer(*connection, buffer, parser, *exchange.answer_buffer);
             if (failure) {
-                exchange.reason = "receive: " + failure.message();
+                is_oversized_ = is_limit_error(failure) || exchange.answer_buffer->is_evicted();
+                exchange.reason =
+                    "receive: " +
+                    (exchange.answer_buffer->is_evicted() ? eviction_text() : failure.message());
                 closed_before_answer_ = buffer.size() == 0 && !parser.got_some();
                 co_return result_of_failure(cw_attempt_result::connection_lost);
             }
             const bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
             auto answer = parser.release();
+            exchange.answer_buffer->on_eviction(nullptr);
             auto metadata = Dialect::metadata_of(answer, exchange.metadata.attempt_id);
             if (is_unattributed_refusal(metadata)) {
                 traffic_.metrics().increment("unattributed_refusals");
@@ -246,17 +264,31 @@
         co_return cw_attempt_result::malformed;
     }
 
+    /// True for the errors of an answer that exceeds a limit of its own.
+    static bool is_limit_error(const boost::system::error_code& failure) {
+        using boost::beast::http::error;
+        return failure == error::header_limit || failure == error::body_limit ||
+               failure == error::buffer_overflow;
+    }
+
+    std::string eviction_text() {
+        return "all answers together exceed " + std::to_string(traffic_.answer_budget().limit()) +
+               " bytes, and this upstream's are the largest";
+    }
+
     /// Reads an answer of at most `max_transfer_bytes`, including framing. The parser limits the
     /// body only, and an upstream could send chunk framing without end.
     static boost::asio::awaitable<boost::system::error_code>
-    read_answer(stream& connection, boost::beast::flat_buffer& buffer, answer_parser& parser) {
+    read_answer(stream& connection, boost::beast::flat_buffer& buffer, answer_parser& parser,
+                cw_buffer_budget::buffer& memory) {
         namespace http = boost::beast::http;
         boost::system::error_code failure;
         std::uint64_t received = 0;
         while (!failure && !parser.is_done()) {
             received += co_await http::async_read_some(connection, buffer, parser,
                                                        cw_redirect_error(failure));
-            if (!failure && received > max_transfer_bytes) {
+            memory.resize(parser.get().body().capacity() + buffer.capacity());
+            if (!failure && (received > max_transfer_bytes || memory.is_evicted())) {
                 failure = http::make_error_code(http::error::body_limit);
             }
         }
@@ -303,4 +335,6 @@
     bool is_new_connection_ = false;
     /// True when the connection ended before the first byte of an answer.
     bool closed_before_answer_ = false;
+    /// True when the answer was cut because it, or all answers together, exceeded a limit.
+    bool is_oversized_ = false;
 };
--- a/Source/cw_gateway_exchange.h
+++ b/Source/cw_gateway_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_attempt.h"
+#include "cw_buffer_budget.h"
 #include "cw_call_metadata.h"
 #include "cw_gateway_view.h"
 #include "cw_http_message.h"
@@ -38,6 +39,8 @@
     std::uint64_t refused_fence = 0;
     /// Ids of the upstreams at which an attempt has failed.
     std::vector<std::string> failed_upstreams;
+    /// Memory of the answer that is being received or written; null for the gateway's own.
+    std::unique_ptr<cw_buffer_budget::buffer> answer_buffer;
     /// The complete answer of the upstream, or the gateway's own.
     cw_http_response answer;
     /// Reason of the last failure, for the caller and the log.
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -31,7 +31,7 @@
           traffic_{traffic},
           timeline_{options.host, options.domain, "control"},
           store_http_{context},
-          command_http_{context},
+          command_http_{context, max_command_answer},
           store_{store_http_, options.store_address,
                  [this](const cw_error& error, std::uint64_t revision) {
                      log_rejected_object(error, revision);
@@ -108,6 +108,9 @@
         metrics.set_gauge("feed_entries_lag_peak_seconds", seconds(feed_.take_peak_entries_lag()));
         metrics.set_gauge("feed_config_lag_peak_seconds", seconds(feed_.take_peak_config_lag()));
         metrics.set_gauge("view_wait_peak_seconds", seconds(traffic_.take_peak_view_wait()));
+        auto& answers = traffic_.answer_budget();
+        metrics.set_gauge("answer_buffer_bytes", static_cast<double>(answers.bytes()));
+        metrics.set_gauge("answer_buffer_peak_bytes", static_cast<double>(answers.take_peak()));
         metrics.set_gauge("feed_reads_store", state.reads_store ? 1.0 : 0.0);
         metrics.set_gauge("feed_revision", static_cast<double>(state.position.revision));
         metrics.set_gauge("feed_polls_unanswered", static_cast<double>(state.unanswered_polls));
@@ -122,6 +125,8 @@
 
     static constexpr milliseconds table_timeout{800};
     static constexpr milliseconds grant_timeout{120};
+    /// Limit of an upstream's answer to an ownership command, in bytes. Many are awaited at once.
+    static constexpr std::uint64_t max_command_answer = 16'384;
     /// An upstream answers a release only when the requests that run on the keys have ended.
     static constexpr milliseconds release_timeout{4'000};
 
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -38,6 +38,8 @@
     double processor_share = 1.0;
     /// Bandwidth of the machine's network link, in Mbit/s.
     double link_rate = 1'000.0;
+    /// Memory that the process may use, in bytes.
+    std::uint64_t memory_limit = 256ULL * 1024 * 1024;
     cw_steward_options ownership;
 
     /// Capacity for work beside traffic, in cores: the processor share, or less where the network
@@ -45,4 +47,7 @@
     [[nodiscard]] double cpu_capacity() const {
         return std::min(processor_share, link_rate / 400.0);
     }
+    /// Limit of all answers together that are being received from upstreams or written to callers,
+    /// in bytes. A string that grows holds up to half as much again for a moment.
+    [[nodiscard]] std::uint64_t answer_buffer_limit() const { return memory_limit / 5; }
 };
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -396,6 +396,13 @@
         }
         boost::system::error_code failure;
         timeout_.set(caller_, now() + transfer_timeout);
+        if (exchange.answer_buffer != nullptr) {
+            exchange.answer_buffer->on_eviction([this] {
+                boost::system::error_code ignored;
+                caller_.close(ignored);
+            });
+            exchange.answer_buffer->resize(answer.body().capacity());
+        }
         if (exchange.request.method() == http::verb::head) {
             http::response_serializer<http::string_body> serializer{answer};
             co_await http::async_write_header(caller_, serializer, cw_redirect_error(failure));
--- a/Source/cw_gateway_settings.cpp
+++ b/Source/cw_gateway_settings.cpp
@@ -70,6 +70,15 @@
         return found->get<double>();
     }
 
+    /// A size in MiB as bytes; `fallback` when the setting is absent or null.
+    std::uint64_t mebibytes(const char* name, std::uint64_t fallback) {
+        constexpr double min_size = 32.0;
+        constexpr double max_size = 1e6;
+        const auto bytes_in = static_cast<double>(1ULL << 20U);
+        return static_cast<std::uint64_t>(
+            number(name, min_size, max_size, static_cast<double>(fallback) / bytes_in) * bytes_in);
+    }
+
     [[nodiscard]] const std::vector<std::string>& errors() const { return errors_; }
 
 private:
@@ -131,6 +140,7 @@
     options.retry_slack = settings.number("retry_slack", 0.0, 1e6, options.retry_slack);
     options.processor_share = settings.number("processor_share", 0.0, 1e4, options.processor_share);
     options.link_rate = settings.number("link_mbps", 0.0, 1e6, options.link_rate);
+    options.memory_limit = settings.mebibytes("memory_mb", options.memory_limit);
     auto& ownership = options.ownership;
     ownership.tenure = settings.seconds("longest_lease_s", ownership.tenure);
     ownership.lease = std::min(ownership.lease, ownership.tenure);
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_boot_clock.h"
+#include "cw_buffer_budget.h"
 #include "cw_connection_pool.h"
 #include "cw_crash_filter.h"
 #include "cw_gateway_metrics.h"
@@ -51,6 +52,8 @@
     [[nodiscard]] cw_connection_pool& pool() { return pool_; }
     /// Limits of request rates that upstreams have named. Safe to use from any thread.
     [[nodiscard]] cw_limit_table& limits() { return limits_; }
+    /// Memory of all answers that are being received or written.
+    [[nodiscard]] cw_buffer_budget& answer_budget() { return answer_budget_; }
 
     /// The current view of configuration, upstreams and key tables; never null. Its configuration
     /// is null until one is received.
@@ -134,6 +137,8 @@
     cw_crash_filter crashes_{cw_crash_options{}};
     cw_gateway_metrics& metrics_;
     cw_log log_{"route"};
+    // The budget must outlive the sessions, which are destroyed with the context.
+    cw_buffer_budget answer_budget_;
     boost::asio::io_context context_{1};
     cw_connection_pool pool_;
     cw_limit_table limits_;
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -13,14 +13,15 @@
 namespace http = boost::beast::http;
 
 namespace {
-/// Limit of a response body. A list is sent in pages of at most a quarter of this.
-constexpr std::uint64_t max_body_bytes = 4'000'000;
 /// As many as a steward has commands to one upstream.
 constexpr std::size_t max_idle_connections = 8;
 /// Error steps of a failed connect. step_reconnect means that the request had already been sent on
 /// a pooled connection, so the peer may have received it.
 constexpr const char* step_connect = "connect";
 constexpr const char* step_reconnect = "connect again";
+/// Error steps of a response of which nothing, or only a part, has arrived.
+constexpr const char* step_receive = "receive";
+constexpr const char* step_receive_rest = "receive the rest";
 /// Error step of a request for which no connection was idle.
 constexpr const char* step_take_idle = "take an idle connection";
 
@@ -39,8 +40,12 @@
     return error.step == step_connect || error.step == step_take_idle;
 }
 
+bool cw_was_response_cut(const cw_error& error) {
+    return error.step == step_receive_rest;
+}
+
 bool cw_is_response_too_large(const cw_error& error) {
-    return error.step == "receive" &&
+    return (error.step == step_receive || error.step == step_receive_rest) &&
            error.reason == http::make_error_code(http::error::body_limit).message();
 }
 
@@ -79,18 +84,27 @@
                                                                     cw_http_request message,
                                                                     cw_time_point deadline,
                                                                     cw_connection_choice choice) {
-    return request_within(std::move(address), std::move(message), {deadline, deadline}, choice);
+    return request_within(std::move(address), std::move(message),
+                          {{deadline, deadline}, max_bytes_}, choice);
 }
 
 net::awaitable<cw_result<cw_http_response>>
 cw_http_client::request(std::string address, cw_http_request message, cw_call_deadlines deadlines) {
-    return request_within(std::move(address), std::move(message), deadlines,
+    return request(std::move(address), std::move(message), deadlines, max_bytes_);
+}
+
+net::awaitable<cw_result<cw_http_response>> cw_http_client::request(std::string address,
+                                                                    cw_http_request message,
+                                                                    cw_call_deadlines deadlines,
+                                                                    std::uint64_t max_bytes) {
+    return request_within(std::move(address), std::move(message), {deadlines, max_bytes},
                           cw_connection_choice::idle_or_new);
 }
 
 net::awaitable<cw_result<cw_http_response>>
-cw_http_client::request_within(std::string address, cw_http_request message,
-                               cw_call_deadlines deadlines, cw_connection_choice choice) {
+cw_http_client::request_within(std::string address, cw_http_request message, call_limits limits,
+                               cw_connection_choice choice) {
+    const auto& deadlines = limits.deadlines;
     const auto endpoint = cw_address::parse(address);
     if (!endpoint) {
         co_return tl::unexpected(cw_error{step_connect, address, "not an IP:port"});
@@ -103,7 +117,7 @@
         co_return tl::unexpected(cw_error{step_take_idle, address, "none is idle"});
     }
     if (connection) {
-        auto response = co_await try_once(connection, address, message, deadlines);
+        auto response = co_await try_once(connection, address, message, limits);
         if (response || choice == cw_connection_choice::only_idle) {
             co_return response;
         }
@@ -128,12 +142,13 @@
     // deadline passes.
     connection->socket().set_option(net::socket_base::linger{true, 0}, failure);
     co_return co_await try_once(connection, address, message,
-                                {deadlines.complete, deadlines.complete});
+                                {{deadlines.complete, deadlines.complete}, limits.max_bytes});
 }
 
 net::awaitable<cw_result<cw_http_response>>
 cw_http_client::try_once(std::unique_ptr<stream>& connection, const std::string& address,
-                         const cw_http_request& message, cw_call_deadlines deadlines) {
+                         const cw_http_request& message, call_limits limits) {
+    const auto& deadlines = limits.deadlines;
     boost::system::error_code failure;
     connection->expires_at(deadlines.first_byte);
     bytes_ += co_await http::async_write(*connection, message, cw_redirect_error(failure));
@@ -143,9 +158,10 @@
     }
     boost::beast::flat_buffer buffer{cw_max_read_buffer};
     http::response_parser<http::string_body> parser;
-    parser.body_limit(max_body_bytes);
+    parser.body_limit(limits.max_bytes);
     bytes_ +=
         co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
+    const bool has_begun = !failure;
     if (!failure && !parser.is_done()) {
         connection->expires_at(deadlines.complete);
         bytes_ +=
@@ -153,7 +169,7 @@
     }
     if (failure) {
         close_idle_after_timeout(address, failure);
-        co_return failed("receive", address, failure);
+        co_return failed(has_begun ? step_receive_rest : step_receive, address, failure);
     }
     if (parser.get().keep_alive() && !parser.get().need_eof() && buffer.size() == 0) {
         return_to_pool(address, std::move(connection));
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -21,6 +21,10 @@
 /// True when a call failed before any part of the request was sent.
 [[nodiscard]] bool cw_was_never_sent(const cw_error& error);
 
+/// True when a call failed after a part of the response had arrived, because the rest did not in
+/// time.
+[[nodiscard]] bool cw_was_response_cut(const cw_error& error);
+
 /// True when a call failed because the response body exceeds the limit of control calls.
 [[nodiscard]] bool cw_is_response_too_large(const cw_error& error);
 
@@ -31,8 +35,14 @@
 /// closes the idle connections to the peer, which may have gone silent together.
 class cw_http_client {
 public:
-    explicit cw_http_client(boost::asio::io_context& context)
-        : context_{context} {}
+    /// Limit of a response body, in bytes. A list is sent in pages of at most a quarter of this.
+    static constexpr std::uint64_t max_body_bytes = 4'000'000;
+
+    /// `max_bytes` is the limit of a response body unless a call sets another.
+    explicit cw_http_client(boost::asio::io_context& context,
+                            std::uint64_t max_bytes = max_body_bytes)
+        : context_{context},
+          max_bytes_{max_bytes} {}
 
     /// The complete response of the peer at `address` ("IP:port"), or an error with the step that
     /// failed. A call fails at the deadline at the latest.
@@ -45,21 +55,33 @@
     boost::asio::awaitable<cw_result<cw_http_response>>
     request(std::string address, cw_http_request message, cw_call_deadlines deadlines);
 
+    /// The same with a limit of the response body, in bytes. A longer one ends the call as soon as
+    /// its length is known.
+    boost::asio::awaitable<cw_result<cw_http_response>> request(std::string address,
+                                                                cw_http_request message,
+                                                                cw_call_deadlines deadlines,
+                                                                std::uint64_t max_bytes);
+
     /// Bytes written and read by all calls so far, headers included.
     [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
 
 private:
     using stream = boost::beast::tcp_stream;
 
+    /// Limits of one call.
+    struct call_limits {
+        cw_call_deadlines deadlines;
+        std::uint64_t max_bytes;
+    };
     boost::asio::awaitable<cw_result<cw_http_response>> request_within(std::string address,
                                                                        cw_http_request message,
-                                                                       cw_call_deadlines deadlines,
+                                                                       call_limits limits,
                                                                        cw_connection_choice choice);
     /// Sends the request on a connection and reads the response. The connection returns to the pool
     /// when the peer keeps it open and no bytes follow the response.
     boost::asio::awaitable<cw_result<cw_http_response>>
     try_once(std::unique_ptr<stream>& connection, const std::string& address,
-             const cw_http_request& message, cw_call_deadlines deadlines);
+             const cw_http_request& message, call_limits limits);
     /// After a timeout, closes the idle connections to the peer, which may be silent as well.
     void close_idle_after_timeout(const std::string& address,
                                   const boost::system::error_code& failure);
@@ -69,6 +91,7 @@
     std::unique_ptr<stream> take_idle_connection(const std::string& address);
 
     boost::asio::io_context& context_;
+    std::uint64_t max_bytes_;
     std::map<std::string, std::vector<std::unique_ptr<stream>>> idle_;
     std::uint64_t bytes_ = 0;
 };
--- a/Source/cw_upstream_stats.cpp
+++ b/Source/cw_upstream_stats.cpp
@@ -38,6 +38,7 @@
     --in_flight_;
     consecutive_failures_ = 0;
     consecutive_sheds_ = 0;
+    consecutive_oversized_ = 0;
     avoided_until_ = {};
     record_load(load, now);
     // The latency includes the wait for a slot. Its length is estimated from the load that the
@@ -77,6 +78,18 @@
     }
 }
 
+void cw_upstream_stats::on_oversized_answer(cw_boot_time now) {
+    on_failure(now);
+    // Answers to requests that were sent together may be cut together; these count as one.
+    if (now >= shedding_until_) {
+        const auto backoff =
+            initial_avoidance * (1U << std::min(consecutive_oversized_, max_doublings));
+        shedding_until_ = now + backoff;
+        ++consecutive_oversized_;
+    }
+    avoided_until_ = std::max(avoided_until_, shedding_until_);
+}
+
 double cw_upstream_stats::load(cw_boot_time now) const {
     const auto age = std::chrono::duration<double>(now - load_reported_at_).count();
     return in_flight_ + other_hosts_load_ * std::exp2(-std::max(0.0, age) / load_half_life_seconds);
--- a/Source/cw_upstream_stats.h
+++ b/Source/cw_upstream_stats.h
@@ -16,7 +16,8 @@
 class cw_upstream_stats {
 public:
     /// A request was sent. Each call is followed by one call of the functions below that end it:
-    /// on_answer(), on_busy(), on_failure(), on_shed() or on_ignored_result().
+    /// on_answer(), on_busy(), on_failure(), on_shed(), on_oversized_answer() or
+    /// on_ignored_result().
     void on_sent() { ++in_flight_; }
     /// The upstream ran a request. `latency` is the time from sending to the complete answer.
     /// Returns the estimated service time in seconds: the latency without the wait for a slot.
@@ -32,6 +33,9 @@
     /// Guards against overloading the owner of popular keys: an owner that sheds load in this way
     /// reports neither its load nor a retry-after time.
     void on_shed(cw_boot_time now);
+    /// The answer was cut because it, or all answers together, exceeded a limit. Counts as a
+    /// failure and starts a backoff at once, which doubles up to two times until an answer arrives.
+    void on_oversized_answer(cw_boot_time now);
     /// A request ended in a way that gives no information about the load: the caller left, or the
     /// upstream does not own the key.
     void on_ignored_result() { --in_flight_; }
@@ -46,8 +50,8 @@
     [[nodiscard]] std::chrono::nanoseconds service_time() const;
     /// True while the upstream should be skipped if there are others, after failures or a refusal.
     [[nodiscard]] bool is_avoided(cw_boot_time now) const { return now < avoided_until_; }
-    /// End of the backoff after shed requests; a past time when there is none. It applies to
-    /// requests that only this upstream can run, because it owns their key.
+    /// End of the backoff after shed requests or oversized answers; a past time when there is none.
+    /// It applies to requests that only this upstream can run, because it owns their key.
     [[nodiscard]] cw_boot_time shedding_until() const { return shedding_until_; }
     /// Extends the time for which the upstream accepts no requests, as its Retry-After states.
     void set_retry_after(cw_boot_time until) { retry_after_ = std::max(retry_after_, until); }
@@ -66,6 +70,7 @@
     double service_seconds_ = 0.0;
     std::uint32_t consecutive_failures_ = 0;
     std::uint32_t consecutive_sheds_ = 0;
+    std::uint32_t consecutive_oversized_ = 0;
     cw_boot_time shedding_until_{};
     cw_boot_time avoided_until_{};
     cw_boot_time retry_after_{};
--- a/Tests/Gateway/cw_endless_test.cpp
+++ b/Tests/Gateway/cw_endless_test.cpp
@@ -2,7 +2,11 @@
 #include "cw_raw_caller.h"
 
 #include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -78,8 +82,161 @@
     CHECK(gateway.upstream(0).endless_bytes() < kind.max_bytes);
 }
 
+/// Memory of the smallest host.
+constexpr std::size_t host_memory = 160 * mebibyte;
+
+cw_gateway_options options_of_a_small_host() {
+    cw_gateway_options options;
+    options.memory_limit = host_memory;
+    return options;
+}
+
+cw_raw_upstream::script endless_body() {
+    return [](const std::string&) {
+        cw_raw_upstream::reply reply{answer_head + "\r\n"};
+        reply.endless = std::string(64'000, 'b');
+        return reply;
+    };
+}
+
+cw_raw_upstream::script whole_answer(std::size_t length) {
+    return [length](const std::string& request) {
+        return cw_raw_upstream::reply{cw_upstream_answer(
+            request, "200 OK", "X-Cuminwinch-Response-Signature: s\r\n", std::string(length, 'g'))};
+    };
+}
+
+/// Statuses of the answers to requests that are sent at the same time.
+std::vector<int> send_at_once(cw_gateway_fixture& gateway, std::size_t count,
+                              const std::string& method, const std::string& path) {
+    std::vector<int> statuses;
+    std::mutex mutex;
+    {
+        std::vector<std::jthread> callers;
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.emplace_back([&] {
+                const auto status = cw_status_of(
+                    gateway.send(method, path, attempt_headers + "X-Cuminwinch-Shard-Key: 7\r\n",
+                                 method == "POST" ? "x" : ""));
+                const std::scoped_lock lock{mutex};
+                statuses.push_back(status);
+            });
+        }
+    }
+    return statuses;
+}
+
+/// Makes the kernel measure this process's peak memory from now on.
+void reset_peak_memory() {
+    std::ofstream{"/proc/self/clear_refs"} << "5";
+}
+
+/// Peak memory of this process since reset_peak_memory(), in bytes.
+std::size_t peak_memory() {
+    std::ifstream status{"/proc/self/status"};
+    std::string word;
+    std::size_t kibibytes = 0;
+    while (status >> word && word != "VmHWM:") {
+    }
+    status >> kibibytes;
+    return kibibytes * 1'024;
+}
+
+/// A caller that sends a request and reads nothing of the answer.
+class silent_caller {
+public:
+    silent_caller(std::uint16_t port, const std::string& request) {
+        boost::asio::ip::tcp::endpoint gateway{boost::asio::ip::address_v4::loopback(), port};
+        socket_.open(gateway.protocol());
+        socket_.set_option(boost::asio::socket_base::receive_buffer_size{4'096});
+        socket_.connect(gateway);
+        boost::asio::write(socket_, boost::asio::buffer(request));
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_{context_};
+};
+
 } // namespace
 
+// Guards against answers that are bounded one by one and not together.
+TEST_CASE("answers_without_end_to_many_callers_hold_no_more_than_the_host_has") {
+    cw_gateway_fixture gateway{{endless_body(), endless_body()}, options_of_a_small_host()};
+    reset_peak_memory();
+    for (const auto status : send_at_once(gateway, 60, "POST", "/order/a")) {
+        const bool is_true = status == 502 || status == 503 || status == 504;
+        CHECK(is_true);
+    }
+    CHECK(gateway.take_peak_answer_bytes() <= gateway.options().answer_buffer_limit());
+#ifndef __SANITIZE_ADDRESS__
+    // The sanitizer keeps memory that has been freed.
+    CHECK(peak_memory() < host_memory);
+#endif
+}
+
+// Guards against callers of other upstreams that pay for one that sends without end.
+TEST_CASE("upstream_that_sends_without_end_takes_no_memory_from_the_answers_of_others") {
+    cw_gateway_fixture gateway{{endless_body(), whole_answer(100'000)}, options_of_a_small_host()};
+    gateway.set_key_owner(1, false);
+    std::vector<int> others;
+    {
+        const std::jthread faulty{[&] { send_at_once(gateway, 40, "POST", "/order/a"); }};
+        for (int i = 0; i < 5; ++i) {
+            const auto statuses = send_at_once(gateway, 8, "GET", "/key/a");
+            others.insert(others.end(), statuses.begin(), statuses.end());
+        }
+    }
+    CHECK(std::count(others.begin(), others.end(), 200) == 40);
+}
+
+// Guards against a host that sends its next request to an upstream that has just sent without end.
+TEST_CASE("upstream_whose_answer_had_no_end_gets_no_request_for_a_moment") {
+    cw_gateway_fixture gateway{{endless_body(), whole_answer(10)}};
+    send_at_once(gateway, 12, "POST", "/order/a");
+    const auto requests = gateway.upstream(0).requests();
+    REQUIRE(requests > 0);
+    const auto statuses = send_at_once(gateway, 20, "POST", "/order/a");
+    CHECK(std::count(statuses.begin(), statuses.end(), 200) == 20);
+    CHECK(gateway.upstream(0).requests() == requests);
+}
+
+TEST_CASE("owner_whose_answer_had_no_end_gets_no_keyed_request_for_a_moment") {
+    cw_gateway_fixture gateway{{endless_body()}};
+    const auto first = send_at_once(gateway, 1, "GET", "/key/a");
+    const bool is_unknown = first.front() == 502 || first.front() == 504;
+    CHECK(is_unknown);
+    const auto requests = gateway.upstream(0).requests();
+    const auto statuses = send_at_once(gateway, 10, "GET", "/key/a");
+    CHECK(std::count(statuses.begin(), statuses.end(), 503) == 10);
+    CHECK(gateway.upstream(0).requests() == requests);
+}
+
+// Guards against answers that no longer count once they are complete.
+TEST_CASE("answers_to_callers_that_do_not_read_hold_no_more_than_the_limit") {
+    cw_gateway_fixture gateway{{whole_answer(7 * mebibyte), whole_answer(10)},
+                               options_of_a_small_host()};
+    gateway.set_key_owner(0, false);
+    std::vector<std::unique_ptr<silent_caller>> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(std::make_unique<silent_caller>(
+            gateway.port(), "GET /key/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers +
+                                "X-Cuminwinch-Shard-Key: 7\r\n\r\n"));
+    }
+    const auto until = std::chrono::steady_clock::now() + 3s;
+    while (gateway.upstream(0).requests() < 5 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    std::this_thread::sleep_for(300ms);
+    const auto limit = gateway.options().answer_buffer_limit();
+    const auto peak = gateway.take_peak_answer_bytes();
+    CHECK(peak <= limit);
+    CHECK(peak > limit / 2);
+    gateway.set_key_owner(1, false);
+    const auto statuses = send_at_once(gateway, 5, "GET", "/key/a");
+    CHECK(std::count(statuses.begin(), statuses.end(), 200) == 5);
+}
+
 TEST_CASE("answer_without_end_at_full_speed_is_cut_within_bytes_and_time") {
     for (const auto& kind : endless_answers()) {
         check_is_cut_off(kind, 0ms);
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -48,8 +48,10 @@
 
 } // namespace
 
-cw_gateway_fixture::cw_gateway_fixture(std::vector<cw_raw_upstream::script> upstreams)
-    : traffic_{options_, metrics_},
+cw_gateway_fixture::cw_gateway_fixture(std::vector<cw_raw_upstream::script> upstreams,
+                                       cw_gateway_options options)
+    : options_{std::move(options)},
+      traffic_{options_, metrics_},
       acceptor_{traffic_.context(), {net::ip::address_v4::loopback(), 0}},
       port_{acceptor_.local_endpoint().port()} {
     for (auto& script : upstreams) {
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -20,12 +20,18 @@
 /// keys at first.
 class cw_gateway_fixture {
 public:
-    explicit cw_gateway_fixture(std::vector<cw_raw_upstream::script> upstreams);
+    explicit cw_gateway_fixture(std::vector<cw_raw_upstream::script> upstreams,
+                                cw_gateway_options options = {});
     ~cw_gateway_fixture();
 
     [[nodiscard]] std::uint16_t port() const { return port_; }
     [[nodiscard]] cw_raw_upstream& upstream(std::size_t index) { return *upstreams_.at(index); }
     [[nodiscard]] cw_gateway_metrics& metrics() { return metrics_; }
+    [[nodiscard]] const cw_gateway_options& options() const { return options_; }
+    /// Highest memory of all answers together since the last call, in bytes.
+    [[nodiscard]] std::uint64_t take_peak_answer_bytes() {
+        return traffic_.answer_budget().take_peak();
+    }
     /// Publishes a key table in which the given upstream owns all keys; `is_moving` means that they
     /// are not settled yet.
     void set_key_owner(std::size_t index, bool is_moving);
