Bound the memory of all requests together, and refuse the largest at once

The same class as answers without end, found by reading: a request may have as many bytes as the configuration allows (64 MiB if it says nothing), and nothing bounded what all callers' requests hold together, so a few dozen uploads at once take a host out of memory with the requests of everybody else.

A fifth of the host's memory may hold requests that are being received or have no answer yet. Beyond it the largest of those that are still being received is refused with 503 while it comes in; it has not been sent anywhere, so "did not run" is true. Requests that were received count and are never cut.

Evidence: requests_that_are_large_together_are_refused_at_once_beyond_the_limit: twelve callers beyond a limit of 40 kB; those that are not served get 503, the upstream ran exactly those with 200. Uploads are still not streamed.

--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -111,6 +111,9 @@
         auto& answers = traffic_.answer_budget();
         metrics.set_gauge("answer_buffer_bytes", static_cast<double>(answers.bytes()));
         metrics.set_gauge("answer_buffer_peak_bytes", static_cast<double>(answers.take_peak()));
+        auto& requests = traffic_.request_budget();
+        metrics.set_gauge("request_buffer_bytes", static_cast<double>(requests.bytes()));
+        metrics.set_gauge("request_buffer_peak_bytes", static_cast<double>(requests.take_peak()));
         metrics.set_gauge("feed_reads_store", state.reads_store ? 1.0 : 0.0);
         metrics.set_gauge("feed_revision", static_cast<double>(state.position.revision));
         metrics.set_gauge("feed_polls_unanswered", static_cast<double>(state.unanswered_polls));
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -50,4 +50,6 @@
     /// Limit of all answers together that are being received from upstreams or written to callers,
     /// in bytes. A string that grows holds up to half as much again for a moment.
     [[nodiscard]] std::uint64_t answer_buffer_limit() const { return memory_limit / 5; }
+    /// The same of all callers' requests that are being received or have no answer yet.
+    [[nodiscard]] std::uint64_t request_buffer_limit() const { return memory_limit / 5; }
 };
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -73,9 +73,12 @@
         parser_type parser;
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
-        if (!co_await read_request(parser, limits)) {
+        // Each caller pays for its own request only.
+        cw_buffer_budget::buffer memory{traffic_.request_budget(), {}};
+        if (!co_await read_request(parser, limits, memory)) {
             co_return false;
         }
+        memory.pin();
         ++traffic_.open_requests;
         const bool keep_alive = parser.get().keep_alive();
         cw_gateway_exchange exchange;
@@ -105,7 +108,8 @@
         co_return !is_late && (!failure || caller_.available(failure) != 0);
     }
 
-    boost::asio::awaitable<bool> read_request(parser_type& parser, const cw_caller_limits& limits) {
+    boost::asio::awaitable<bool> read_request(parser_type& parser, const cw_caller_limits& limits,
+                                              cw_buffer_budget::buffer& memory) {
         namespace http = boost::beast::http;
         if (!co_await wait_for_request(limits)) {
             co_return false;
@@ -124,10 +128,16 @@
                 co_await http::async_write(caller_, continue_answer, cw_redirect_error(failure));
             }
             timeout_.set(caller_, now() + transfer_timeout);
-            co_await http::async_read(caller_, buffer_, parser, cw_redirect_error(failure));
+            failure = co_await read_body(parser, memory);
         }
         const bool is_late = timeout_.has_expired();
         timeout_.clear();
+        if (memory.is_evicted()) {
+            traffic_.metrics().increment("requests_beyond_memory");
+            co_await reject(
+                {status::service_unavailable, "this host holds too many large requests"});
+            co_return false;
+        }
         if (!failure) {
             co_return true;
         }
@@ -139,6 +149,24 @@
         co_return false;
     }
 
+    /// Reads the rest of a request, until all requests together need too much memory and this one
+    /// is the largest of those that are being read.
+    boost::asio::awaitable<boost::system::error_code> read_body(parser_type& parser,
+                                                                cw_buffer_budget::buffer& memory) {
+        boost::system::error_code failure;
+        memory.on_eviction([this] {
+            boost::system::error_code ignored;
+            caller_.cancel(ignored);
+        });
+        while (!failure && !parser.is_done() && !memory.is_evicted()) {
+            co_await boost::beast::http::async_read_some(caller_, buffer_, parser,
+                                                         cw_redirect_error(failure));
+            memory.resize(parser.get().body().capacity() + buffer_.capacity());
+        }
+        memory.on_eviction(nullptr);
+        co_return failure;
+    }
+
     /// Responds to an invalid or incomplete request with its error and closes the connection.
     boost::asio::awaitable<void> reject(cw_request_error error) {
         traffic_.metrics().increment("rejected_requests");
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -47,6 +47,7 @@
       retry_slack_{options.retry_slack},
       metrics_{metrics},
       answer_budget_{options.answer_buffer_limit()},
+      request_budget_{options.request_buffer_limit()},
       pool_{context_},
       view_{std::make_shared<const cw_gateway_view>()},
       engine_{std::random_device{}()} {}
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -54,6 +54,8 @@
     [[nodiscard]] cw_limit_table& limits() { return limits_; }
     /// Memory of all answers that are being received or written.
     [[nodiscard]] cw_buffer_budget& answer_budget() { return answer_budget_; }
+    /// Memory of all requests that are being received or have no answer yet.
+    [[nodiscard]] cw_buffer_budget& request_budget() { return request_budget_; }
 
     /// The current view of configuration, upstreams and key tables; never null. Its configuration
     /// is null until one is received.
@@ -137,8 +139,9 @@
     cw_crash_filter crashes_{cw_crash_options{}};
     cw_gateway_metrics& metrics_;
     cw_log log_{"route"};
-    // The budget must outlive the sessions, which are destroyed with the context.
+    // The budgets must outlive the sessions, which are destroyed with the context.
     cw_buffer_budget answer_budget_;
+    cw_buffer_budget request_budget_;
     boost::asio::io_context context_{1};
     cw_connection_pool pool_;
     cw_limit_table limits_;
--- a/Tests/Gateway/cw_endless_test.cpp
+++ b/Tests/Gateway/cw_endless_test.cpp
@@ -237,6 +237,36 @@
     CHECK(std::count(statuses.begin(), statuses.end(), 200) == 5);
 }
 
+// Guards against requests that are bounded one by one and not together.
+TEST_CASE("requests_that_are_large_together_are_refused_at_once_beyond_the_limit") {
+    cw_gateway_options options;
+    options.memory_limit = 200'000;
+    cw_gateway_fixture gateway{{whole_answer(10)}, options};
+    const std::string body(9'500, 'x');
+    const std::string head = "POST /order/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\nConnection: close\r\n\r\n";
+    std::vector<int> statuses;
+    std::mutex mutex;
+    {
+        std::vector<std::jthread> callers;
+        for (int i = 0; i < 12; ++i) {
+            callers.emplace_back([&] {
+                const auto status = cw_status_of(cw_send_raw(
+                    gateway.port(), {head + body.substr(0, 9'000), body.substr(9'000)}, 300ms, 5s));
+                const std::scoped_lock lock{mutex};
+                statuses.push_back(status);
+            });
+        }
+    }
+    const auto served = std::count(statuses.begin(), statuses.end(), 200);
+    CHECK(served >= 1);
+    CHECK(std::count(statuses.begin(), statuses.end(), 503) == 12 - served);
+    CHECK(served < 12);
+    CHECK(gateway.upstream(0).requests() == static_cast<std::size_t>(served));
+    CHECK(gateway.take_peak_request_bytes() <= options.request_buffer_limit());
+}
+
 TEST_CASE("answer_without_end_at_full_speed_is_cut_within_bytes_and_time") {
     for (const auto& kind : endless_answers()) {
         check_is_cut_off(kind, 0ms);
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -28,6 +28,10 @@
     [[nodiscard]] cw_raw_upstream& upstream(std::size_t index) { return *upstreams_.at(index); }
     [[nodiscard]] cw_gateway_metrics& metrics() { return metrics_; }
     [[nodiscard]] const cw_gateway_options& options() const { return options_; }
+    /// Highest memory of all requests together since the last call, in bytes.
+    [[nodiscard]] std::uint64_t take_peak_request_bytes() {
+        return traffic_.request_budget().take_peak();
+    }
     /// Highest memory of all answers together since the last call, in bytes.
     [[nodiscard]] std::uint64_t take_peak_answer_bytes() {
         return traffic_.answer_budget().take_peak();
