Hold removals back only after an outage in which entries can expire

Requests reached upstreams that were gone (DRAIN): after each failed call of a host to the store, one that was refused or met a silent connection, a removed entry was kept for 2.5 s, the time in which entries that expired during an outage are written again.

An entry expires after three silent heartbeats, so its removal proves nothing only if no source was current for 2 s. That is now asked in one place, as entries are applied, whatever source brought them: before, followers whose reader came back first trusted removals at once after an outage. That calls fail is still reported at once to the control state.

--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -32,9 +32,11 @@
     std::vector<cw_upstream_entry> written;
     std::vector<std::string> removed;
 };
-/// A call to the store failed.
+/// A call to the store failed, or no source of entries was current.
 struct cw_store_failed {
     std::string reason;
+    /// True if this may have lasted for so long that entries have expired whose upstreams live.
+    bool can_entries_have_expired = true;
 };
 /// The store has come back from an older copy of itself; what was written since is written again.
 struct cw_store_restored {
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -135,7 +135,9 @@
     if (!std::exchange(store_unreachable_, true)) {
         record_event("store does not answer", self_.host, event.reason);
     }
-    directory_.defer_removals(now);
+    if (event.can_entries_have_expired) {
+        directory_.defer_removals(now);
+    }
 }
 
 void cw_gateway_control::handle(const cw_store_restored& event, cw_boot_time now) {
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -363,12 +363,23 @@
         selector_.on_store_failure(cw_boot_clock::now());
         is_store_unreachable_ = true;
         must_report_recovery_ = true;
-        deliver_(cw_store_failed{reason});
+        deliver_(cw_store_failed{reason, can_entries_have_expired()});
         changed_.notify_all();
     }
 
+    /// True if the store may have been away for so long, as far as this host knows, that entries
+    /// have expired whose upstreams live.
+    [[nodiscard]] bool can_entries_have_expired() const {
+        const auto lag = entries_lag_.at(cw_boot_clock::now());
+        return lag >= shortest_entry_expiry && lag != cw_replication_lag::unknown;
+    }
+
     void apply_entries(cw_upstream_delta received_delta) {
         const bool is_first = !upstreams_.position().is_known();
+        if (!received_delta.is_empty() && can_entries_have_expired()) {
+            must_report_recovery_ = true;
+            deliver_(cw_store_failed{"no source was current", true});
+        }
         const auto era = upstreams_.position().era;
         auto delta = upstreams_.apply(std::move(received_delta));
         if (!is_first && delta.position.era != era) {
@@ -435,11 +446,6 @@
         if (!change) {
             co_return;
         }
-        if (lag >= shortest_entry_expiry) {
-            // The store may have been away, so that entries have expired whose upstreams live.
-            must_report_recovery_ = true;
-            deliver_(cw_store_failed{"no source was current"});
-        }
         watch_position_ = std::max(watch_position_, change->position);
         apply_entries(
             {change->position, is_listing, std::move(change->written), std::move(change->removed)});
--- a/Standins/cw_link_standin.cpp
+++ b/Standins/cw_link_standin.cpp
@@ -2,9 +2,11 @@
 
 #include "cw_async.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace net = boost::asio;
@@ -55,18 +57,35 @@
     if (failure) {
         co_return;
     }
-    net::co_spawn(context_, forward_data(caller, target, accepted_in), net::detached);
-    co_await forward_data(target, caller, accepted_in);
+    net::co_spawn(context_, forward_data(caller, target, accepted_in, direction::to_target),
+                  net::detached);
+    co_await forward_data(target, caller, accepted_in, direction::to_caller);
+}
+
+net::awaitable<void> cw_link_standin::carry(std::size_t bytes) {
+    delivered_bytes_ += bytes;
+    if (rate_ != 0) {
+        const std::chrono::duration<double> time{static_cast<double>(bytes) /
+                                                 static_cast<double>(rate_)};
+        free_at_ = std::max(free_at_, std::chrono::steady_clock::now()) +
+                   std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+        net::steady_timer timer{context_, free_at_};
+        boost::system::error_code ignored;
+        co_await timer.async_wait(cw_redirect_error(ignored));
+    }
 }
 
 net::awaitable<void> cw_link_standin::forward_data(socket_ptr from, socket_ptr to,
-                                                   std::uint64_t accepted_in) {
+                                                   std::uint64_t accepted_in, direction way) {
     std::array<char, chunk_size> chunk{};
     boost::system::error_code failure;
     while (!failure) {
         const auto size =
             co_await from->async_read_some(net::buffer(chunk), cw_redirect_error(failure));
         co_await wait_until_restored();
+        if (!failure && way == direction::to_caller) {
+            co_await carry(size);
+        }
         if (!failure && accepted_in == silent_before_) {
             co_await net::async_write(*to, net::buffer(chunk.data(), size),
                                       cw_redirect_error(failure));
--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -12,6 +12,10 @@
 /// Shortest time in which a deployment requires a configuration to be in force, and an upstream
 /// that leaves to get no more requests.
 constexpr auto shortest_bound = 2'000ms;
+/// Rate of the weakest links, 10 Mbit/s, in bytes a second.
+constexpr std::uint64_t weak_link = 1'250'000;
+/// Routes of a configuration of some 300 kB.
+constexpr std::size_t many_routes = 600;
 /// Time after which all hosts follow the first reader.
 constexpr auto start_time = 2'500ms;
 /// Time after which a watch that was open before has ended.
@@ -42,14 +46,21 @@
 
     bool refuses = false;
     bool hides_config = false;
+    /// Refuses this many more calls that do not concern the configuration.
+    int refusals = 0;
 
 private:
+    bool take_refusal(const cw_http_request& request) {
+        return request.target().find("/config") == std::string_view::npos && refusals > 0 &&
+               refusals-- > 0;
+    }
+
     boost::asio::awaitable<cw_http_response> serve(cw_http_request request) {
         namespace http = boost::beast::http;
         if (hides_config && request.target().find("/config") != std::string_view::npos) {
             co_await cw_pause(context_, 30s);
         }
-        if (refuses) {
+        if (refuses || take_refusal(request)) {
             co_return cw_make_response(http::status::service_unavailable, "refused\n",
                                        "text/plain");
         }
@@ -81,6 +92,9 @@
 
     /// Called when another host asks for the configuration, before it is sent.
     std::function<void()> on_transfer;
+    /// Transfers of the configuration that run now, and the most that have run at once.
+    int transfers = 0;
+    int max_transfers = 0;
     /// Time for which the configuration is held back then.
     std::chrono::milliseconds transfer_delay{0};
     store_path path;
@@ -91,11 +105,17 @@
 private:
     boost::asio::awaitable<cw_http_response> serve(cw_http_request request) {
         std::string target{request.target().data(), request.target().size()};
-        if (on_transfer && target.find("part=config") != std::string::npos) {
-            on_transfer();
+        const bool is_transfer = target.find("part=config") != std::string::npos;
+        if (is_transfer) {
+            max_transfers = std::max(max_transfers, ++transfers);
+            if (on_transfer) {
+                on_transfer();
+            }
             co_await cw_pause(context_, transfer_delay);
         }
-        co_return co_await host.feed.serve(std::move(target));
+        auto answer = co_await host.feed.serve(std::move(target));
+        transfers -= is_transfer ? 1 : 0;
+        co_return answer;
     }
 
     boost::asio::io_context& context_;
@@ -145,11 +165,23 @@
         }
     }
 
-    void put_config(std::uint64_t version) {
+    void put_config(std::uint64_t version) { put_config(version, 0); }
+
+    /// Writes a configuration whose routes are the same but for one that has the version's name.
+    void put_config(std::uint64_t version, std::size_t routes) {
+        auto rules = nlohmann::json::array();
+        for (std::size_t index = 0; index < routes; ++index) {
+            const auto name = index == routes / 2 ? "v" + std::to_string(version) + "-"
+                                                  : "r" + std::to_string(index) + "-";
+            rules.push_back({{"name", name + std::string(400, 'n')},
+                             {"match", {{"pathPrefix", "/" + name + "/"}}},
+                             {"kind", "safe"},
+                             {"action", {{"service", "gallery"}, {"timeoutS", 1.5}}}});
+        }
         store.put("config", "main",
                   {{"version", version},
-                   {"clusters", nlohmann::json::array()},
-                   {"listeners", nlohmann::json::array()}});
+                   {"clusters", {{{"name", "gallery"}}}},
+                   {"listeners", {{{"host", "shop.example"}, {"rules", std::move(rules)}}}}});
     }
 
     void put_upstream(const std::string& state) {
@@ -167,6 +199,15 @@
         put_upstream("draining");
     }
 
+    /// Cuts the follower off from all readers for so long that it reads the store itself.
+    void make_follower_read_the_store() {
+        for (auto& reader : readers) {
+            reader.link.set_partitioned(true);
+        }
+        run_for(3s);
+        REQUIRE(follower.feed.state().reads_store);
+    }
+
     /// Cuts the follower off from all readers and silences its open connections to the store.
     void lose_all_sources() {
         store_link.silence_open_connections();
@@ -242,3 +283,16 @@
     CHECK(follower.versions.contains(4));
     CHECK(follower.store.calls() == calls);
 }
+
+// Guards against one refused call that is taken for an outage of the store.
+TEST_CASE_FIXTURE(domain_with_readers,
+                  "upstream_removed_after_one_refused_call_is_not_used_beyond_the_bound") {
+    make_follower_read_the_store();
+    store_link.set_partitioned(false);
+    readers[0].path.refusals = 1;
+    store.remove("servers", "a");
+    run_for(shortest_bound);
+    for (auto* host : hosts()) {
+        CHECK_FALSE(host->uses("a"));
+    }
+}
