Keep the guard on the lag on after a call that fails

A host that reads the store by itself could stay behind though the store answered: the guard that reads what lags too far did not read while the last call of the host's own loop had failed, and waited 0.9 s after a read of its own that failed. So the fault that it guards against switched it off.

It now holds back only while a loop pauses that the store has just refused (a status, or a failure within 0.3 s): another connection would not help, and it would double the calls to a store that is away. After a read that was not answered in time it reads again 0.2 s later; such a read takes 0.3 to 1.2 s itself, so a silent store gets at most one more call in about 1.4 s from each host that reads it. An error says whether the peer has refused.

--- a/Source/cw_error.h
+++ b/Source/cw_error.h
@@ -11,6 +11,8 @@
     std::string peer;
     /// What went wrong, in one short sentence.
     std::string reason;
+    /// True if the peer answered, and refused. Another connection to it would not help.
+    bool is_refusal = false;
 
     /// One line for logs and command-line output.
     [[nodiscard]] std::string text() const {
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -273,9 +273,11 @@
                               : "The configuration can be read from the store again.",
                           {{"error", change ? "" : change.error().text()}});
             }
+            is_config_refused_ = read_result_of(change, sent_at) == cw_lag_read_result::refused;
             if (!change) {
                 config_watch_wait_ = milliseconds{0};
                 co_await pause_after_failure();
+                is_config_refused_ = false;
                 continue;
             }
             // A read of the store's new era may have set another position meanwhile.
@@ -338,9 +340,11 @@
         // The first watch after a failure does not wait, so that a store that is still down is
         // detected soon.
         upstream_watch_wait_ = change ? upstream_watch_wait : milliseconds{0};
+        are_entries_refused_ = read_result_of(change, sent_at) == cw_lag_read_result::refused;
         if (!change) {
             on_store_failure(change.error().text());
             co_await pause_after_failure();
+            are_entries_refused_ = false;
             co_return;
         }
         selector_.on_store_answer();
@@ -403,20 +407,20 @@
 
     // -- reads that bound the lags
 
-    /// Reads what lags too far from the store, whatever the other loops wait for. A loop that reads
-    /// the store already and whose calls fail repeats them at its own pace.
+    /// Reads what lags too far from the store, whatever the other loops wait for, unless a loop has
+    /// just been refused by the store and pauses.
     void_task limit_lags() {
         while (true) {
             const auto now = cw_boot_clock::now();
             const auto entries_lag = entries_lag_.at(now);
             const auto config_lag = config_lag_.at(now);
             if (entries_lag != cw_replication_lag::unknown &&
-                !(reads_store_ && is_store_unreachable_) &&
+                !(reads_store_ && are_entries_refused_) &&
                 entries_guard_.take_due_read(entries_lag, now)) {
                 spawn(read_lagging_entries(entries_lag));
             }
             if (config_lag != cw_replication_lag::unknown &&
-                !(reads_store_ && is_config_unreachable_) &&
+                !(reads_store_ && is_config_refused_) &&
                 config_guard_.take_due_read(config_lag, now)) {
                 spawn(read_lagging_config(config_lag));
             }
@@ -428,6 +432,19 @@
         return {deadline_in(lagging_read_first_byte), deadline_in(store_timeout)};
     }
 
+    /// How a call that was sent at `sent_at` has ended. The store, or its host, has refused a call
+    /// that fails at once.
+    template <typename Change>
+    static cw_lag_read_result read_result_of(const cw_result<Change>& change,
+                                             cw_boot_time sent_at) {
+        if (change) {
+            return cw_lag_read_result::answered;
+        }
+        const bool has_failed_at_once = cw_boot_clock::now() - sent_at < lagging_read_first_byte;
+        return change.error().is_refusal || has_failed_at_once ? cw_lag_read_result::refused
+                                                               : cw_lag_read_result::unanswered;
+    }
+
     void_task read_lagging_entries(milliseconds lag) {
         const auto sent_at = cw_boot_clock::now();
         cw_result<cw_upstream_change> change;
@@ -440,7 +457,7 @@
         if (is_listing) {
             change = co_await store_.list_upstreams(store_timeout);
         }
-        entries_guard_.on_read_ended(cw_boot_clock::now());
+        entries_guard_.on_read_ended(read_result_of(change, sent_at), cw_boot_clock::now());
         feed_log_.lagging_copy_read("upstreams", source_name(), lag,
                                     change ? "" : change.error().text());
         if (!change) {
@@ -462,7 +479,7 @@
         if (!from.is_known() || (change && change->is_history_gone)) {
             change = co_await store_.read_config(lagging_read_deadlines());
         }
-        config_guard_.on_read_ended(cw_boot_clock::now());
+        config_guard_.on_read_ended(read_result_of(change, sent_at), cw_boot_clock::now());
         feed_log_.lagging_copy_read("configuration", source_name(), lag,
                                     change ? "" : change.error().text());
         if (change) {
@@ -636,6 +653,9 @@
     bool is_store_unreachable_ = false;
     /// True while calls for the configuration fail.
     bool is_config_unreachable_ = false;
+    /// True while a loop that reads the store pauses after a call that the store has refused.
+    bool are_entries_refused_ = false;
+    bool is_config_refused_ = false;
     /// True after a failure until the control state has been notified that the store responds
     /// again.
     bool must_report_recovery_ = false;
--- a/Source/cw_lag_guard.cpp
+++ b/Source/cw_lag_guard.cpp
@@ -20,8 +20,10 @@
     return true;
 }
 
-void cw_lag_guard::on_read_ended(cw_boot_time now) {
+void cw_lag_guard::on_read_ended(cw_lag_read_result result, cw_boot_time now) {
     is_reading_ = false;
-    next_read_at_ = now + options_.retry_interval;
+    next_read_at_ =
+        now + (result == cw_lag_read_result::unanswered ? options_.unanswered_retry_interval
+                                                        : options_.retry_interval);
     draw_limit();
 }
--- a/Source/cw_lag_guard.h
+++ b/Source/cw_lag_guard.h
@@ -15,10 +15,17 @@
     /// Upper bound of a random addition, so that many hosts that lose their source do not all call
     /// the store at the same moment.
     std::chrono::milliseconds max_spread{150};
-    /// Time from the end of a read until the next one may start.
+    /// Time from the end of a read that was answered, even by a refusal, until the next one may
+    /// start.
     std::chrono::milliseconds retry_interval{900};
+    /// The same after a read that was not answered in time, which takes long itself: the next one
+    /// uses another connection, and may succeed at once.
+    std::chrono::milliseconds unanswered_retry_interval{200};
 };
 
+/// How a read of the store has ended.
+enum class cw_lag_read_result { answered, refused, unanswered };
+
 /// Decides when a host reads one kind of data, upstream entries or the configuration, from the
 /// store because its copy lags, whatever its source is and whatever it waits for there.
 ///
@@ -34,8 +41,8 @@
     /// True when a read must start now, since the copy's lag is `lag`. It must be followed by
     /// on_read_ended().
     [[nodiscard]] bool take_due_read(std::chrono::milliseconds lag, cw_boot_time now);
-    /// Records that the read has ended, with or without success.
-    void on_read_ended(cw_boot_time now);
+    /// Records how the read has ended.
+    void on_read_ended(cw_lag_read_result result, cw_boot_time now);
 
 private:
     void draw_limit();
--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -284,6 +284,20 @@
     CHECK(follower.store.calls() == calls);
 }
 
+// Guards against a guard on the lag that a failed call of the host's own switches off.
+TEST_CASE_FIXTURE(
+    domain_with_readers,
+    "config_changed_as_calls_for_it_are_answered_again_is_received_within_the_bound") {
+    for (int i = 0; i < 3; ++i) {
+        readers[0].path.hides_config = true;
+        run_for(2'600ms + i * 250ms);
+        readers[0].path.hides_config = false;
+        put_config(static_cast<std::uint64_t>(2 + i));
+        run_for(shortest_bound);
+        CHECK(readers[0].host.versions.contains(static_cast<std::uint64_t>(2 + i)));
+    }
+}
+
 // Guards against one refused call that is taken for an outage of the store.
 TEST_CASE_FIXTURE(domain_with_readers,
                   "upstream_removed_after_one_refused_call_is_not_used_beyond_the_bound") {
