Send hosts what has changed in the configuration, one transfer at a time

Callers got answers of an older configuration for seconds after a later one was acknowledged, on hosts that were in touch. A change of one route cost each host the whole configuration: at 1,800 routes and on slow hosts changes arrived with a lag of up to 4.6 s. A series of changes started a transfer for each version, side by side on one link, and a host that read the store after a gap received each missed version whole, until the call timed out and asked for more.

- A follower names its version; its reader sends the parts that have changed since (cw_json_delta), from a log of 128 KiB (cw_config_copy), else the whole.
Deltas that do not fit, or lead to another version, are thrown away, and the whole is asked for.
A host of an earlier release asks for, and sends, the whole.
- The reader serializes the whole once for all followers, and a follower does not copy it.
- One transfer runs at a time, and goes on to the latest version named meanwhile.
The guard does not start another one beside a transfer in its first second.
- A watch may bring two versions.
What is longer is not received, and neither is one asked for again that did not end in time: the latest version is read alone.
Only the latest version in an answer is decoded.
- An answer that brings a change counts as current as of the moment it was sent, however long it took.
- The log says in which form a version came.

--- a/Source/cw_feed_answer.cpp
+++ b/Source/cw_feed_answer.cpp
@@ -38,10 +38,16 @@
                          {"config_era", config_position.era},
                          {"config_revision", config_position.revision},
                          {"upstreams", cw_delta_to_json(delta, now)}};
-    if (!config.is_null()) {
-        value["config"] = config;
+    if (!config_deltas.is_null()) {
+        value["config_deltas"] = config_deltas;
     }
-    return value.dump();
+    auto text = value.dump();
+    if (!config_text.empty()) {
+        // The text of a whole configuration is large and the same for all followers.
+        text.pop_back();
+        text.append(R"(,"config":)").append(config_text).append("}");
+    }
+    return text;
 }
 
 cw_result<cw_feed_answer> cw_feed_answer::parse(std::string_view text, cw_boot_time now) {
@@ -72,6 +78,9 @@
         if (value.contains("config")) {
             answer.config = std::move(value.at("config"));
         }
+        if (value.contains("config_deltas")) {
+            answer.config_deltas = std::move(value.at("config_deltas"));
+        }
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse a reader's answer", "", failure.what()});
     }
--- a/Source/cw_feed_answer.h
+++ b/Source/cw_feed_answer.h
@@ -34,15 +34,21 @@
     /// Position of the store as of which that version is the latest; not known from hosts that run
     /// an earlier release.
     cw_store_position config_position;
-    /// The operators' configuration as stored; null unless the request was for `config` and the
-    /// reader has a newer one.
+    /// The operators' configuration as stored; null unless the request was for `config`, the reader
+    /// has a newer one, and `config_deltas` is null. Set by parse() only.
     nlohmann::json config;
+    /// The same as JSON text, for to_json(); empty for none.
+    std::string config_text;
+    /// The deltas that make the reader's configuration from the one that the host named.
+    nlohmann::json config_deltas;
 
     /// When the host that asked sent its request; set by that host.
     cw_boot_time sent_at{};
 
     /// Earliest moment at which the reader can have made this answer.
     [[nodiscard]] cw_boot_time made_at() const { return sent_at + held; }
+    /// True if the answer has a newer configuration, whole or as deltas.
+    [[nodiscard]] bool has_config() const { return !config.is_null() || !config_deltas.is_null(); }
     /// The answer as JSON text; warm-up times are relative to `now`.
     [[nodiscard]] std::string to_json(cw_boot_time now) const;
     /// Parses the output of to_json(). Fails if a member is missing or has the wrong type.
--- a/Source/cw_feed_client.cpp
+++ b/Source/cw_feed_client.cpp
@@ -12,7 +12,8 @@
     return std::string{cw_feed_path} + "?era=" + std::to_string(known.entries_position.era) +
            "&revision=" + std::to_string(known.entries_position.revision) +
            "&config=" + std::to_string(known.config_version) +
-           "&part=" + std::string{cw_feed_part_name(part)};
+           "&part=" + std::string{cw_feed_part_name(part)} +
+           (known.takes_deltas ? "&deltas=1" : "");
 }
 
 } // namespace
--- a/Source/cw_feed_client.h
+++ b/Source/cw_feed_client.h
@@ -14,6 +14,8 @@
     cw_store_position entries_position;
     /// Version of the configuration; 0 for none.
     std::uint64_t config_version = 0;
+    /// True if a newer configuration may come as deltas from that version.
+    bool takes_deltas = false;
 };
 
 /// Sends requests to readers, that is, to the hosts that read the store for others. Not
--- a/Source/cw_feed_log.cpp
+++ b/Source/cw_feed_log.cpp
@@ -11,11 +11,12 @@
 } // namespace
 
 void cw_feed_log::config_received(std::uint64_t version, std::uint64_t before,
-                                  const std::string& source, milliseconds call_time,
-                                  milliseconds lag) {
+                                  const std::string& source, const char* form,
+                                  milliseconds call_time, milliseconds lag) {
     log_.info("A newer configuration has been received.", {{"version", std::to_string(version)},
                                                            {"before", std::to_string(before)},
                                                            {"source", source},
+                                                           {"form", form},
                                                            {"call_ms", text_of(call_time)},
                                                            {"lag_ms", text_of(lag)}});
 }
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -2,6 +2,7 @@
 
 #include "cw_async.h"
 #include "cw_async_condition.h"
+#include "cw_config_copy.h"
 #include "cw_control_event.h"
 #include "cw_feed_answer.h"
 #include "cw_feed_client.h"
@@ -67,13 +68,13 @@
 
     /// What this host knows now.
     [[nodiscard]] cw_feed_state state() const {
-        return {config_version_,      config_received_at_, upstreams_.position(),
+        return {config_.version(),    config_received_at_, upstreams_.position(),
                 last_store_response_, reads_store_,        client_.unanswered()};
     }
 
-    /// Latest version of the configuration that is known or being transferred.
+    /// Latest version of the configuration that is known, or that a reader has named.
     [[nodiscard]] std::uint64_t expected_config_version() const {
-        return std::max(config_version_, pending_config_version_);
+        return std::max(config_.version(), named_config_version_);
     }
 
     /// Moment as of which this host surely knows of every configuration.
@@ -103,7 +104,7 @@
             deadline_in(part == cw_feed_part::entries ? long_poll_wait : milliseconds{0});
         const auto has_changes = [&] {
             return !reads_store_ || is_store_unreachable_ || upstreams_.has_changes_since(known) ||
-                   config_version_ > config;
+                   config_.version() > config;
         };
         while (!has_changes() && std::chrono::steady_clock::now() < until) {
             co_await changed_.wait(until);
@@ -114,8 +115,14 @@
         if (part == cw_feed_part::entries && upstreams_.has_changes_since(known)) {
             answer.delta = upstreams_.delta_since(known);
         }
-        if (part == cw_feed_part::config && config_version_ > config) {
-            answer.config = config_json_;
+        if (part == cw_feed_part::config && config_.version() > config) {
+            if (cw_query_number(target, "deltas", 0) != 0 &&
+                known.era == upstreams_.position().era) {
+                answer.config_deltas = config_.deltas_since(config);
+            }
+            if (answer.config_deltas.is_null()) {
+                answer.config_text = config_.text();
+            }
         }
         co_return cw_make_response(boost::beast::http::status::ok, answer.to_json(now));
     }
@@ -159,6 +166,12 @@
     /// Timeout of the transfer of a complete configuration from a reader. A configuration of 1,500
     /// routes takes about a second on a link of 10 Mbit/s that also carries requests.
     static constexpr milliseconds config_transfer_timeout{2'000};
+    /// Versions of the configuration that a watch may bring at once.
+    static constexpr std::uint64_t max_watched_versions = 2;
+    /// Bytes of a version besides its text, and by which it may grow.
+    static constexpr std::uint64_t config_version_overhead = 32'768;
+    /// Time for which a transfer from a reader is expected to succeed.
+    static constexpr milliseconds transfer_patience{1'000};
     /// Interval at which due health checks of suspected readers are started and lags are checked. A
     /// host that follows a reader also checks at this interval whether it has to read
     /// configurations from the store.
@@ -180,15 +193,15 @@
                          is_store_unreachable_ || selector_.is_store_suspected(),
                          entries_lag_.at(now), config_lag_.at(now)};
         answer.delta.position = upstreams_.position();
-        answer.config_version = config_version_;
+        answer.config_version = config_.version();
         answer.config_position = config_position_;
         return answer;
     }
 
-    /// Moment as of which the answer to a call is complete that was sent at `sent_at` and that the
-    /// store may have held open for up to `wait`.
-    static cw_boot_time current_as_of(cw_boot_time sent_at, milliseconds wait) {
-        return cw_boot_clock::now() - sent_at < wait ? sent_at : sent_at + wait;
+    /// Moment as of which the answer to a call is complete that was sent at `sent_at`. The store
+    /// has held the call open for `wait` only if the answer brings no change.
+    static cw_boot_time current_as_of(cw_boot_time sent_at, milliseconds wait, bool has_change) {
+        return has_change || cw_boot_clock::now() - sent_at < wait ? sent_at : sent_at + wait;
     }
 
     void spawn(void_task work) { cw_spawn(context_, std::move(work), log_); }
@@ -259,12 +272,15 @@
             const auto from = config_position_;
             const auto sent_at = cw_boot_clock::now();
             milliseconds wait{0};
-            if (!from.is_known()) {
-                change = co_await store_.read_config(deadlines_after({}, store_timeout));
+            if (!from.is_known() || reads_whole_config_) {
+                is_reading_config_ = true;
+                config_transfer_started_at_ = sent_at;
+                change = co_await store_.read_config(whole_config_deadlines());
+                is_reading_config_ = false;
             } else {
                 wait = std::exchange(config_watch_wait_, config_watch_wait);
-                change =
-                    co_await store_.watch_config(from, wait, deadlines_after(wait, watch_grace));
+                change = co_await store_.watch_config(
+                    from, wait, deadlines_after(wait, watch_grace), max_config_watch_bytes());
             }
             if (is_config_unreachable_ != !change) {
                 is_config_unreachable_ = !change;
@@ -273,6 +289,7 @@
                               : "The configuration can be read from the store again.",
                           {{"error", change ? "" : change.error().text()}});
             }
+            note_config_call(change);
             is_config_refused_ = read_result_of(change, sent_at) == cw_lag_read_result::refused;
             if (!change) {
                 config_watch_wait_ = milliseconds{0};
@@ -284,43 +301,65 @@
             if (from == config_position_) {
                 config_position_ = change->is_history_gone ? cw_store_position{} : change->position;
             }
-            apply_config(*change, sent_at);
-            if (change->config != nullptr) {
+            const bool has_config = change->config != nullptr;
+            const bool is_history_gone = change->is_history_gone;
+            apply_config(std::move(*change), sent_at, from.is_known() ? "watch" : "whole");
+            if (has_config) {
                 // The answer shows only that the copy was current when the watch began.
                 config_watch_wait_ = milliseconds{0};
             }
-            if (!change->is_history_gone) {
-                config_lag_.on_current_as_of(current_as_of(sent_at, wait), cw_boot_clock::now());
+            if (!is_history_gone) {
+                config_lag_.on_current_as_of(current_as_of(sent_at, wait, has_config),
+                                             cw_boot_clock::now());
             }
         }
     }
 
+    /// Deadlines of a call that brings the latest version of the configuration only.
+    static cw_call_deadlines whole_config_deadlines() {
+        return deadlines_after({}, config_transfer_timeout);
+    }
+
+    /// Limit of the answer to a watch, which brings each version since its position whole. What is
+    /// larger than a few versions takes longer than the latest version alone.
+    [[nodiscard]] std::uint64_t max_config_watch_bytes() const {
+        return max_watched_versions * (config_.text().size() + config_version_overhead);
+    }
+
+    /// Decides after a call how the configuration is read next. A watch brings each version since
+    /// its position whole, so one whose answer was too long for its time would be longer yet when
+    /// repeated; the latest version alone is the shortest answer.
+    void note_config_call(const cw_result<cw_config_change>& change) {
+        reads_whole_config_ =
+            !change && (reads_whole_config_ || cw_was_response_cut(change.error()));
+    }
+
     /// Reads the configuration of a new era of the store, without waiting for the end of a watch
     /// that may be pending since before.
     void_task read_config_of_new_era() {
         const auto sent_at = cw_boot_clock::now();
-        const auto change = co_await store_.read_config(deadlines_after({}, store_timeout));
+        auto change = co_await store_.read_config(whole_config_deadlines());
         if (change && change->position > config_position_) {
             config_position_ = change->position;
-            apply_config(*change, sent_at);
+            config_.forget_changes();
+            apply_config(std::move(*change), sent_at, "new era");
             config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
         }
     }
 
-    /// Publishes a configuration if it is newer than the known one. The call that brought it was
-    /// sent at `sent_at`.
-    void apply_config(const cw_config_change& change, cw_boot_time sent_at) {
-        if (change.config == nullptr || change.config->version() <= config_version_) {
+    /// Publishes a configuration if it is newer than the known one. The call that brought it, in
+    /// the given form, was sent at `sent_at`.
+    void apply_config(cw_config_change change, cw_boot_time sent_at, const char* form) {
+        if (change.config == nullptr || change.config->version() <= config_.version()) {
             return;
         }
         const auto now = cw_boot_clock::now();
-        feed_log_.config_received(change.config->version(), config_version_, source_name(),
+        feed_log_.config_received(change.config->version(), config_.version(), source_name(), form,
                                   std::chrono::duration_cast<milliseconds>(now - sent_at),
                                   config_lag_.at(now));
-        config_version_ = change.config->version();
-        config_received_at_ = cw_boot_clock::now();
-        config_json_ = change.source;
+        config_received_at_ = now;
         deliver_(cw_config_received{change.config});
+        config_.replace(change.config->version(), std::move(change.source), reads_store_);
         changed_.notify_all();
     }
 
@@ -357,9 +396,11 @@
         if (config_position_.is_known() && change->position.era > config_position_.era) {
             spawn(read_config_of_new_era());
         }
+        const bool has_change = !change->written.empty() || !change->removed.empty();
         apply_entries(
             {change->position, is_listing, std::move(change->written), std::move(change->removed)});
-        entries_lag_.on_current_as_of(current_as_of(sent_at, wait), cw_boot_clock::now());
+        entries_lag_.on_current_as_of(current_as_of(sent_at, wait, has_change),
+                                      cw_boot_clock::now());
         co_await jittered_pause(options_.upstream_poll_interval);
     }
 
@@ -420,7 +461,7 @@
                 spawn(read_lagging_entries(entries_lag));
             }
             if (config_lag != cw_replication_lag::unknown &&
-                !(reads_store_ && is_config_refused_) &&
+                !(reads_store_ && is_config_refused_) && !is_config_on_its_way(now) &&
                 config_guard_.take_due_read(config_lag, now)) {
                 spawn(read_lagging_config(config_lag));
             }
@@ -428,8 +469,15 @@
         }
     }
 
-    static cw_call_deadlines lagging_read_deadlines() {
-        return {deadline_in(lagging_read_first_byte), deadline_in(store_timeout)};
+    /// True while a transfer of the configuration can be expected to end before another one would,
+    /// which would have to share the link with it.
+    [[nodiscard]] bool is_config_on_its_way(cw_boot_time now) const {
+        return (is_transferring_config_ || is_reading_config_) &&
+               now - config_transfer_started_at_ < transfer_patience;
+    }
+
+    static cw_call_deadlines lagging_read_deadlines(milliseconds timeout = store_timeout) {
+        return {deadline_in(lagging_read_first_byte), deadline_in(timeout)};
     }
 
     /// How a call that was sent at `sent_at` has ended. The store, or its host, has refused a call
@@ -473,18 +521,22 @@
         const auto sent_at = cw_boot_clock::now();
         const auto from = config_position_;
         cw_result<cw_config_change> change;
-        if (from.is_known()) {
-            change = co_await store_.watch_config(from, milliseconds{0}, lagging_read_deadlines());
+        bool reads_whole = !from.is_known() || reads_whole_config_;
+        if (!reads_whole) {
+            change = co_await store_.watch_config(from, milliseconds{0}, lagging_read_deadlines(),
+                                                  max_config_watch_bytes());
+            reads_whole = change && change->is_history_gone;
         }
-        if (!from.is_known() || (change && change->is_history_gone)) {
-            change = co_await store_.read_config(lagging_read_deadlines());
+        if (reads_whole) {
+            change = co_await store_.read_config(lagging_read_deadlines(config_transfer_timeout));
         }
+        note_config_call(change);
         config_guard_.on_read_ended(read_result_of(change, sent_at), cw_boot_clock::now());
         feed_log_.lagging_copy_read("configuration", source_name(), lag,
                                     change ? "" : change.error().text());
         if (change) {
             config_position_ = std::max(config_position_, change->position);
-            apply_config(*change, sent_at);
+            apply_config(std::move(*change), sent_at, reads_whole ? "whole" : "watch");
             config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
         }
     }
@@ -495,9 +547,8 @@
     /// end the reader's wait.
     boost::asio::awaitable<cw_result<cw_feed_answer>>
     request_feed(const std::string& reader, cw_feed_part part, milliseconds timeout) {
-        const auto config =
-            part == cw_feed_part::config ? config_version_ : expected_config_version();
-        return client_.request(reader, part, {upstreams_.position(), config}, timeout);
+        return client_.request(reader, part,
+                               {upstreams_.position(), expected_config_version(), false}, timeout);
     }
 
     /// Sends a request to a reader and passes the outcome to the reader selection.
@@ -522,50 +573,102 @@
         } else if (answer->status.reads_store) {
             const auto version = answer->config_version;
             apply_answer(std::move(*answer), cw_boot_clock::now());
-            if (version > expected_config_version()) {
-                pending_config_version_ = version;
-                spawn(fetch_config(reader, version));
+            named_config_version_ = std::max(named_config_version_, version);
+            if (named_config_version_ > config_.version() && !is_transferring_config_) {
+                is_transferring_config_ = true;
+                spawn(fetch_config(reader));
             }
         }
     }
 
-    /// Transfers a complete configuration from a reader while entries continue to be received.
-    /// Reads it from the store if the reader does not send it in time.
-    void_task fetch_config(std::string reader, std::uint64_t version) {
-        auto answer = co_await request_feed(reader, cw_feed_part::config, config_transfer_timeout);
-        if (answer && !answer->config.is_null()) {
-            apply_config(store_.decode_config(answer->config), answer->sent_at);
+    /// Receives the configuration from a reader while entries continue to be received, until it is
+    /// the latest that a reader has named. Reads it from the store if the reader does not send it
+    /// in time. One transfer runs at a time: several would share the host's link.
+    void_task fetch_config(std::string reader) {
+        bool is_received = true;
+        while (is_received && named_config_version_ > config_.version()) {
+            config_transfer_started_at_ = cw_boot_clock::now();
+            is_received = co_await transfer_config(reader);
+            if (!is_received) {
+                is_received = co_await transfer_config_from_store();
+            }
+        }
+        is_transferring_config_ = false;
+        if (!is_received) {
+            // The next answer that names a later version starts a new transfer.
+            named_config_version_ = 0;
+        }
+    }
+
+    /// Receives a newer configuration from a reader; false if that fails.
+    boost::asio::awaitable<bool> transfer_config(std::string reader) {
+        const auto before = config_.version();
+        auto answer = co_await client_.request(
+            reader, cw_feed_part::config, {upstreams_.position(), before, takes_config_deltas_},
+            config_transfer_timeout);
+        takes_config_deltas_ = true;
+        if (answer && answer->has_config() && before == config_.version()) {
+            apply_transferred_config(*answer);
+        }
+        if (answer) {
             note_config_lag(*answer);
-        } else {
+        }
+        const bool is_received = config_.version() > before;
+        if (!is_received) {
             log_.info("The configuration could not be fetched from the reader.",
                       {{"reader", reader},
-                       {"version", std::to_string(version)},
+                       {"version", std::to_string(named_config_version_)},
+                       {"before", std::to_string(before)},
                        {"error", answer ? "" : answer.error().text()}});
-            const auto sent_at = cw_boot_clock::now();
-            const auto change = co_await store_.read_config(deadlines_after({}, store_timeout));
-            if (change) {
-                apply_config(*change, sent_at);
-                config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
-            } else {
-                log_.info("The configuration could not be read from the store either.",
-                          {{"error", change.error().text()}});
-            }
         }
-        // If both have failed, the next answer that names this version starts a new transfer. A
-        // transfer of a later version that has been started meanwhile is not affected.
-        if (pending_config_version_ == version) {
-            pending_config_version_ = 0;
+        co_return is_received;
+    }
+
+    /// Applies the configuration in a reader's answer. Deltas that do not fit are not asked for
+    /// again, so that the next transfer brings the whole.
+    void apply_transferred_config(cw_feed_answer& answer) {
+        if (answer.config_deltas.is_null()) {
+            apply_config(store_.decode_config(std::move(answer.config)), answer.sent_at, "whole");
+            return;
+        }
+        auto source = config_.with_deltas(answer.config_deltas);
+        takes_config_deltas_ = false;
+        if (!source) {
+            log_.warning(
+                "The deltas of a configuration do not fit.",
+                {{"version", std::to_string(config_.version())}, {"error", source.error().text()}});
+            return;
+        }
+        auto change = store_.decode_config(std::move(*source));
+        if (change.config != nullptr && change.config->version() == answer.config_version) {
+            takes_config_deltas_ = true;
+            apply_config(std::move(change), answer.sent_at, "deltas");
+        }
+    }
+
+    /// Receives a newer configuration from the store; false if that fails.
+    boost::asio::awaitable<bool> transfer_config_from_store() {
+        const auto before = config_.version();
+        const auto sent_at = cw_boot_clock::now();
+        auto change = co_await store_.read_config(whole_config_deadlines());
+        if (change) {
+            apply_config(std::move(*change), sent_at, "whole");
+            config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
+        } else {
+            log_.info("The configuration could not be read from the store either.",
+                      {{"error", change.error().text()}});
         }
+        co_return config_.version() > before;
     }
 
     /// Updates the configuration's lag and position from the answer of a reader, unless the reader
     /// has a later version than this host.
     void note_config_lag(const cw_feed_answer& answer) {
-        if (answer.config_version <= config_version_) {
+        if (answer.config_version <= config_.version()) {
             config_lag_.on_current_as_of(answer.made_at() - answer.status.config_lag,
                                          cw_boot_clock::now());
         }
-        if (answer.config_version == config_version_) {
+        if (answer.config_version == config_.version()) {
             config_position_ = std::max(config_position_, answer.config_position);
         }
     }
@@ -662,10 +765,16 @@
 
     /// Position from which the next watch on the configuration starts; none reads it instead.
     cw_store_position config_position_;
-    std::uint64_t config_version_ = 0;
+    cw_config_copy config_;
     cw_boot_time config_received_at_{};
-    /// Version of the configuration that is being transferred from a reader; 0 for none.
-    std::uint64_t pending_config_version_ = 0;
-    /// The known configuration as the store holds it, for followers.
-    nlohmann::json config_json_;
+    /// Latest version of the configuration that a reader has named; 0 for none.
+    std::uint64_t named_config_version_ = 0;
+    /// True while fetch_config() runs, and while follow_config() reads the latest version.
+    bool is_transferring_config_ = false;
+    bool is_reading_config_ = false;
+    cw_boot_time config_transfer_started_at_{};
+    /// False if the next transfer from a reader has to bring the whole configuration.
+    bool takes_config_deltas_ = true;
+    /// True if the next call for the configuration has to bring the latest version only.
+    bool reads_whole_config_ = false;
 };
--- a/Source/cw_gateway_port.h
+++ b/Source/cw_gateway_port.h
@@ -26,7 +26,7 @@
         store.read_config(deadlines)
         } -> std::same_as<boost::asio::awaitable<cw_result<cw_config_change>>>;
     {
-        store.watch_config(position, wait, deadlines)
+        store.watch_config(position, wait, deadlines, number)
         } -> std::same_as<boost::asio::awaitable<cw_result<cw_config_change>>>;
     {
         store.list_upstreams(wait)
--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -298,6 +298,49 @@
     }
 }
 
+// Guards against a catch-up that brings each missed version whole, and starts anew after it failed.
+TEST_CASE_FIXTURE(domain_with_readers,
+                  "latest_of_many_missed_versions_is_received_over_a_weak_link_within_the_bound") {
+    put_config(2, many_routes);
+    run_for(1s);
+    make_follower_read_the_store();
+    store_link.set_rate(weak_link);
+    store_link.set_partitioned(true);
+    for (std::uint64_t version = 3; version <= 14; ++version) {
+        put_config(version, many_routes);
+    }
+    run_for(400ms);
+    store_link.set_partitioned(false);
+    run_for(shortest_bound);
+    CHECK(follower.versions.contains(14));
+}
+
+// Guards against a transfer for each version of a series, which share one weak link.
+TEST_CASE_FIXTURE(domain_with_readers, "series_of_versions_is_transferred_one_after_the_other") {
+    readers[0].transfer_delay = 300ms;
+    for (std::uint64_t version = 2; version <= 8; ++version) {
+        put_config(version);
+        run_for(100ms);
+    }
+    run_for(1s);
+    CHECK(follower.versions.contains(8));
+    CHECK(readers[0].max_transfers <= static_cast<int>(reader_count));
+}
+
+// Guards against a change of one route that costs each follower the whole configuration.
+TEST_CASE_FIXTURE(domain_with_readers, "change_of_one_route_of_many_costs_a_follower_little") {
+    put_config(2, many_routes);
+    run_for(1s);
+    REQUIRE(follower.versions.contains(2));
+    const auto before = readers[0].link.delivered_bytes();
+    for (std::uint64_t version = 3; version <= 5; ++version) {
+        put_config(version, many_routes);
+        run_for(300ms);
+    }
+    CHECK(follower.versions.contains(5));
+    CHECK(readers[0].link.delivered_bytes() - before < 300'000);
+}
+
 // Guards against one refused call that is taken for an outage of the store.
 TEST_CASE_FIXTURE(domain_with_readers,
                   "upstream_removed_after_one_refused_call_is_not_used_beyond_the_bound") {
--- a/Tests/Gateway/cw_feed_test.cpp
+++ b/Tests/Gateway/cw_feed_test.cpp
@@ -201,7 +201,8 @@
     answer.status.config_lag = 450ms;
     answer.config_version = 4;
     answer.config_position = {2, 8};
-    answer.config = {{"version", 4}};
+    answer.config_text = R"({"version":4})";
+    answer.config_deltas = nlohmann::json::parse(R"([{"value":{"version":4}}])");
     const auto read = cw_feed_answer::parse(answer.to_json(now), now + 10s);
     REQUIRE(read);
     CHECK(read->status.reads_store);
@@ -216,7 +217,8 @@
     CHECK(read->status.config_lag == 450ms);
     CHECK(read->config_version == 4);
     CHECK(read->config_position == cw_store_position{2, 8});
-    CHECK(read->config == answer.config);
+    CHECK(read->config == nlohmann::json{{"version", 4}});
+    CHECK(read->config_deltas == answer.config_deltas);
 }
 
 TEST_CASE("feed_answer_that_cannot_be_read_is_an_error") {
--- a/Tests/Gateway/cw_feed_transfer_test.cpp
+++ b/Tests/Gateway/cw_feed_transfer_test.cpp
@@ -35,7 +35,7 @@
         co_return config_of(1);
     }
     task<cw_result<cw_config_change>> watch_config(cw_store_position, std::chrono::milliseconds,
-                                                   cw_call_deadlines) {
+                                                   cw_call_deadlines, std::uint64_t) {
         ++other_calls;
         co_return cw_config_change{};
     }
@@ -113,7 +113,7 @@
         if (is_config_request) {
             ++config_transfers;
             co_await cw_pause(context, 900ms);
-            response.config = {{"version", 2}};
+            response.config_text = R"({"version":2})";
         } else {
             ++entry_polls;
             co_await cw_pause(context, 100ms);
