--- a/Source/cw_gateway_upstream_selector.cpp
+++ b/Source/cw_gateway_upstream_selector.cpp
@@ -18,7 +18,8 @@
 /// Acceptable expected time to an answer, as a fraction of the route's target time: one half.
 constexpr int acceptable_time_numerator = 1;
 constexpr int acceptable_time_denominator = 2;
-constexpr const char* owner_sheds_reason = "the owner closes connections or sends answers without end";
+constexpr const char* owner_sheds_reason =
+    "the owner closes connections or sends answers without end";
 
 cw_time_point now() {
     return std::chrono::steady_clock::now();
