Log a configuration that was read alone as whole

The line of a new configuration said watch for one that was read alone after a watch that was too long.

--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -272,7 +272,8 @@
             const auto from = config_position_;
             const auto sent_at = cw_boot_clock::now();
             milliseconds wait{0};
-            if (!from.is_known() || reads_whole_config_) {
+            const bool reads_whole = !from.is_known() || reads_whole_config_;
+            if (reads_whole) {
                 is_reading_config_ = true;
                 config_transfer_started_at_ = sent_at;
                 change = co_await store_.read_config(whole_config_deadlines());
@@ -303,7 +304,7 @@
             }
             const bool has_config = change->config != nullptr;
             const bool is_history_gone = change->is_history_gone;
-            apply_config(std::move(*change), sent_at, from.is_known() ? "watch" : "whole");
+            apply_config(std::move(*change), sent_at, reads_whole ? "whole" : "watch");
             if (has_config) {
                 // The answer shows only that the copy was current when the watch began.
                 config_watch_wait_ = milliseconds{0};
