--- a/Source/cw_config_delta_log.h
+++ b/Source/cw_config_delta_log.h
@@ -11,7 +11,7 @@
 class cw_config_delta_log {
 public:
     /// Most bytes of all deltas together.
-    static constexpr std::size_t max_bytes = 128 * 1024;
+    static constexpr std::size_t max_bytes = std::size_t{128} * 1024;
 
     /// Records the change from the version `from` to the later version `to`. A change whose delta
     /// is too large, or that does not follow the last one, clears the log.
