--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -71,7 +71,7 @@
     /// Limits of one call.
     struct call_limits {
         cw_call_deadlines deadlines;
-        std::uint64_t max_bytes;
+        std::uint64_t max_bytes = max_body_bytes;
     };
     boost::asio::awaitable<cw_result<cw_http_response>> request_within(std::string address,
                                                                        cw_http_request message,
