--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -32,6 +32,8 @@
     [[nodiscard]] std::uint64_t take_peak_request_bytes() {
         return traffic_.request_budget().take_peak();
     }
+    /// Memory of all answers together, in bytes.
+    [[nodiscard]] std::uint64_t answer_bytes() { return traffic_.answer_budget().bytes(); }
     /// Highest memory of all answers together since the last call, in bytes.
     [[nodiscard]] std::uint64_t take_peak_answer_bytes() {
         return traffic_.answer_budget().take_peak();
