Have a host that is no reader wait for the configuration in the case of the guard

The wrong variant guard-off-after-a-failed-call was not caught: the case's host was a reader, which repeats a failed call after 0.25 s and is within the bound without the guard. The host that reads the store by itself repeats after about a second; the case now hangs that host's calls, four times at different moments. In the case of silent callers the answers are counted after the callers' time limit.

--- a/Tests/Gateway/cw_endless_test.cpp
+++ b/Tests/Gateway/cw_endless_test.cpp
@@ -237,7 +237,8 @@
     while (gateway.upstream(0).requests() < 5 && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(5ms);
     }
-    std::this_thread::sleep_for(300ms);
+    // Longer than the callers' time limit, so that no answer is still being received.
+    std::this_thread::sleep_for(1s);
     const auto limit = gateway.options().answer_buffer_limit();
     const auto peak = gateway.take_peak_answer_bytes();
     CHECK(peak <= limit);
--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -125,7 +125,8 @@
 struct domain_with_readers {
     boost::asio::io_context context{1};
     cw_platform_standin store{context, address_of(first_port)};
-    cw_link_standin store_link{context, address_of(first_port + 1), address_of(first_port)};
+    store_path follower_path{context, first_port + 11, text_of(first_port)};
+    cw_link_standin store_link{context, address_of(first_port + 1), address_of(first_port + 11)};
     std::array<named_reader, reader_count> readers{
         named_reader{context, first_port + 2, text_of(first_port)},
         named_reader{context, first_port + 5, text_of(first_port)},
@@ -288,13 +289,14 @@
 TEST_CASE_FIXTURE(
     domain_with_readers,
     "config_changed_as_calls_for_it_are_answered_again_is_received_within_the_bound") {
-    for (int i = 0; i < 3; ++i) {
-        readers[0].path.hides_config = true;
-        run_for(2'600ms + i * 250ms);
-        readers[0].path.hides_config = false;
-        put_config(static_cast<std::uint64_t>(2 + i));
+    make_follower_read_the_store();
+    for (std::uint64_t version = 2; version <= 5; ++version) {
+        follower_path.hides_config = true;
+        run_for(2'600ms + version * 350ms);
+        follower_path.hides_config = false;
+        put_config(version);
         run_for(shortest_bound);
-        CHECK(readers[0].host.versions.contains(static_cast<std::uint64_t>(2 + i)));
+        CHECK(follower.versions.contains(version));
     }
 }
 
