Log what the transfer of a large response costs, and how late threads are

A host in touch was 6.3 s behind while calls with a deadline of 2 s lasted 6 s. The log had the length of a call and not where its time went. Now: reads, time to the first byte and to the end, and time left until the deadline, a line for each response of 64 KiB or more; by how much the I/O thread was late as a configuration arrived, and its peak as a metric; how far apart the ticks of the control state are as readers are named.

The rest of a response is read by the calls that were counted, one after the other, as the one call did before. Cost: a line for each transfer of a large configuration, no message and no store call more.

--- a/Source/cw_feed_log.cpp
+++ b/Source/cw_feed_log.cpp
@@ -12,13 +12,16 @@
 
 void cw_feed_log::config_received(std::uint64_t version, std::uint64_t before,
                                   const std::string& source, const char* form,
-                                  milliseconds call_time, milliseconds lag) {
-    log_.info("A newer configuration has been received.", {{"version", std::to_string(version)},
-                                                           {"before", std::to_string(before)},
-                                                           {"source", source},
-                                                           {"form", form},
-                                                           {"call_ms", text_of(call_time)},
-                                                           {"lag_ms", text_of(lag)}});
+                                  milliseconds call_time, milliseconds lag,
+                                  milliseconds thread_wait) {
+    log_.info("A newer configuration has been received.",
+              {{"version", std::to_string(version)},
+               {"before", std::to_string(before)},
+               {"source", source},
+               {"form", form},
+               {"call_ms", text_of(call_time)},
+               {"lag_ms", text_of(lag)},
+               {"thread_wait_ms", text_of(thread_wait)}});
 }
 
 void cw_feed_log::departures_received(const cw_upstream_delta& delta, const std::string& source,
--- a/Source/cw_feed_log.h
+++ b/Source/cw_feed_log.h
@@ -16,9 +16,11 @@
     using milliseconds = std::chrono::milliseconds;
 
     /// A later version of the configuration, which a call of the given length brought in the given
-    /// form: whole, as deltas, or among the versions of a watch.
+    /// form: whole, as deltas, or among the versions of a watch. The I/O thread was last late by
+    /// `thread_wait` with other work of the feed.
     void config_received(std::uint64_t version, std::uint64_t before, const std::string& source,
-                         const char* form, milliseconds call_time, milliseconds lag);
+                         const char* form, milliseconds call_time, milliseconds lag,
+                         milliseconds thread_wait);
     /// The upstreams in the delta that are leaving or gone; no line if there are none.
     void departures_received(const cw_upstream_delta& delta, const std::string& source,
                              milliseconds lag);
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -62,6 +62,10 @@
 }
 
 void cw_gateway_control::handle(const cw_clock_tick& /*event*/, cw_boot_time now) {
+    tick_gap_ = last_tick_ == cw_boot_time{}
+                    ? std::chrono::milliseconds{0}
+                    : std::chrono::duration_cast<std::chrono::milliseconds>(now - last_tick_);
+    last_tick_ = now;
     publish_upstreams(directory_.on_tick(now), now);
     for (auto& [service, steward] : stewards_) {
         steward->on_tick(now, commands_);
@@ -342,7 +346,8 @@
     view_outdated_ = true;
     for (const auto& [domain, ranking] : readers_by_domain_) {
         record_event("readers named", domain,
-                     ranking.front() + " of " + std::to_string(hosts.size()));
+                     ranking.front() + " of " + std::to_string(hosts.size()) + " hosts, ticks " +
+                         std::to_string(tick_gap_.count()) + " ms apart");
     }
     set_readers(readers_by_domain_[host_info_.domain]);
 }
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -103,6 +103,10 @@
     std::map<std::string, cw_boot_time> last_reports_;
     cw_hosts_by_name host_infos_;
     bool host_infos_changed_ = true;
+    /// When the last clock tick was handled, and the time from the one before. A long time shows
+    /// that the control state is behind with its work.
+    cw_boot_time last_tick_{};
+    std::chrono::milliseconds tick_gap_{0};
     /// When this host began to collect crashes; the clock's epoch while it does not.
     cw_boot_time collector_since_{};
     cw_readers_by_domain readers_by_domain_;
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -90,6 +90,11 @@
         return config_lag_.take_peak(cw_boot_clock::now());
     }
 
+    /// Longest time since the last call by which the thread ran work of this feed later than due.
+    [[nodiscard]] std::chrono::milliseconds take_peak_thread_wait() {
+        return std::exchange(peak_thread_wait_, std::chrono::milliseconds{0});
+    }
+
     /// Answers a long poll of a follower. A request for entries is held for up to `long_poll_wait`
     /// until there are changes or a newer configuration, and is not held while this host does not
     /// read the store or cannot reach it. Other requests are answered at once.
@@ -357,7 +362,7 @@
         const auto now = cw_boot_clock::now();
         feed_log_.config_received(change.config->version(), config_.version(), source_name(), form,
                                   std::chrono::duration_cast<milliseconds>(now - sent_at),
-                                  config_lag_.at(now));
+                                  config_lag_.at(now), thread_wait_);
         config_received_at_ = now;
         deliver_(cw_config_received{change.config});
         config_.replace(change.config->version(), std::move(change.source), reads_store_);
@@ -466,7 +471,11 @@
                 config_guard_.take_due_read(config_lag, now)) {
                 spawn(read_lagging_config(config_lag));
             }
+            const auto due_at = deadline_in(check_poll_interval);
             co_await cw_pause(context_, check_poll_interval);
+            thread_wait_ =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - due_at);
+            peak_thread_wait_ = std::max(peak_thread_wait_, thread_wait_);
         }
     }
 
@@ -754,6 +763,9 @@
     cw_replication_lag config_lag_;
     cw_lag_guard entries_guard_;
     cw_lag_guard config_guard_;
+    /// Time by which the thread was last late with work of this feed, and the longest of late.
+    milliseconds thread_wait_{0};
+    milliseconds peak_thread_wait_{0};
     bool is_store_unreachable_ = false;
     /// True while calls for the configuration fail.
     bool is_config_unreachable_ = false;
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -107,6 +107,8 @@
         metrics.set_gauge("store_age_seconds", age(state.last_store_response));
         metrics.set_gauge("feed_entries_lag_peak_seconds", seconds(feed_.take_peak_entries_lag()));
         metrics.set_gauge("feed_config_lag_peak_seconds", seconds(feed_.take_peak_config_lag()));
+        metrics.set_gauge("control_thread_wait_peak_seconds",
+                          seconds(feed_.take_peak_thread_wait()));
         metrics.set_gauge("view_wait_peak_seconds", seconds(traffic_.take_peak_view_wait()));
         auto& answers = traffic_.answer_budget();
         metrics.set_gauge("answer_buffer_bytes", static_cast<double>(answers.bytes()));
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -15,6 +15,8 @@
 namespace {
 /// As many as a steward has commands to one upstream.
 constexpr std::size_t max_idle_connections = 8;
+/// Size of a response, in bytes, from which its transfer is logged.
+constexpr std::uint64_t large_response = 65'536;
 /// Error steps of a failed connect. step_reconnect means that the request had already been sent on
 /// a pooled connection, so the peer may have received it.
 constexpr const char* step_connect = "connect";
@@ -29,6 +31,11 @@
                                 const boost::system::error_code& failure) {
     return tl::unexpected(cw_error{step, peer, failure.message()});
 }
+
+std::string milliseconds_between(cw_time_point from, cw_time_point until) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(until - from).count());
+}
 } // namespace
 
 bool cw_is_connection_refused(const cw_error& error) {
@@ -80,6 +87,22 @@
     }
 }
 
+void cw_http_client::log_large_response(const std::string& address, const call_limits& limits,
+                                        std::uint64_t bytes, std::uint64_t reads,
+                                        cw_time_point sent_at, cw_time_point begun_at) {
+    if (bytes < large_response) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    log_.info("A large response has been received.",
+              {{"peer", address},
+               {"bytes", std::to_string(bytes)},
+               {"reads", std::to_string(reads)},
+               {"first_byte_ms", milliseconds_between(sent_at, begun_at)},
+               {"ms", milliseconds_between(sent_at, now)},
+               {"time_left_ms", milliseconds_between(now, limits.deadlines.complete)}});
+}
+
 net::awaitable<cw_result<cw_http_response>> cw_http_client::request(std::string address,
                                                                     cw_http_request message,
                                                                     cw_time_point deadline,
@@ -159,14 +182,20 @@
     boost::beast::flat_buffer buffer{cw_max_read_buffer};
     http::response_parser<http::string_body> parser;
     parser.body_limit(limits.max_bytes);
-    bytes_ +=
+    const auto sent_at = std::chrono::steady_clock::now();
+    std::uint64_t received =
         co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
+    std::uint64_t reads = 1;
+    const auto begun_at = std::chrono::steady_clock::now();
     const bool has_begun = !failure;
-    if (!failure && !parser.is_done()) {
-        connection->expires_at(deadlines.complete);
-        bytes_ +=
-            co_await http::async_read(*connection, buffer, parser, cw_redirect_error(failure));
+    connection->expires_at(deadlines.complete);
+    while (!failure && !parser.is_done()) {
+        received +=
+            co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
+        ++reads;
     }
+    bytes_ += received;
+    log_large_response(address, limits, received, reads, sent_at, begun_at);
     if (failure) {
         close_idle_after_timeout(address, failure);
         co_return failed(has_begun ? step_receive_rest : step_receive, address, failure);
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -4,6 +4,7 @@
 #include "cw_connection_choice.h"
 #include "cw_error.h"
 #include "cw_http_message.h"
+#include "cw_log.h"
 #include "cw_time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -82,6 +83,11 @@
     boost::asio::awaitable<cw_result<cw_http_response>>
     try_once(std::unique_ptr<stream>& connection, const std::string& address,
              const cw_http_request& message, call_limits limits);
+    /// Logs what a large response cost, complete or not: its transfer took `reads` reads, and its
+    /// first byte came at `begun_at`.
+    void log_large_response(const std::string& address, const call_limits& limits,
+                            std::uint64_t bytes, std::uint64_t reads, cw_time_point sent_at,
+                            cw_time_point begun_at);
     /// After a timeout, closes the idle connections to the peer, which may be silent as well.
     void close_idle_after_timeout(const std::string& address,
                                   const boost::system::error_code& failure);
@@ -94,4 +100,5 @@
     std::uint64_t max_bytes_;
     std::map<std::string, std::vector<std::unique_ptr<stream>>> idle_;
     std::uint64_t bytes_ = 0;
+    cw_log log_{"calls"};
 };
