End a call at its deadline although bytes of its response are there

What callers saw: calls for a configuration with a deadline of 2 s ended well after 6 s, and so did the read of the store that guards against just that; the host handled requests by the old version meanwhile. Cause: the deadline of a call was the timer of its stream, which ends a wait, and a read whose bytes are there already does not wait. So a transfer on a busy thread goes on for as long as the peer is faster than the thread.

Evidence: a call with a deadline of 200 ms on a thread with 20 ms of other work a turn has not ended after 2 s, and ends after 1,746 ms with large reads, when the response is complete. Now the deadline is looked at after each read that leaves the response incomplete; the call ends at the next turn. A complete response is still returned, however late, since the work is done.

--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -195,6 +195,11 @@
         received +=
             co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
         ++reads;
+        // The stream's timer ends a wait. A read whose bytes are there already does not wait.
+        if (!failure && !parser.is_done() &&
+            std::chrono::steady_clock::now() >= deadlines.complete) {
+            failure = net::error::timed_out;
+        }
     }
     bytes_ += received;
     log_large_response(address, limits, received, reads, sent_at, begun_at);
