Refuse requests while a configuration that was heard of is overdue

What callers saw: a host in touch served requests on routes of before by a version that should have been replaced more than 3 s ago. Cause: nothing bounded the version by which a known route is served.

A host now refuses every request (503, not run) while it has heard of a later version, its copy of the configuration lags by more than the deployment allows (a new setting, config_bound_s, 2 s where it is absent), and its entries are current, so the store or a reader answers it. The lag is counted from the moment as of which the copy is surely complete, so no version that is allowed to be unknown is refused for. A host that is cut off serves by what it has, as before; so does one that has heard of no later version.

Evidence: cases with a lag of 1.8 and 2.1 s, heard of or not, cut off or not; a feed whose transfer and whose store hang, which knows of the version and that its sources answer, and one that is cut off. No message, state or store call more.

--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -10,6 +10,7 @@
 #include "cw_feed_state.h"
 #include "cw_gateway_options.h"
 #include "cw_gateway_port.h"
+#include "cw_known_config.h"
 #include "cw_lag_guard.h"
 #include "cw_log.h"
 #include "cw_query.h"
@@ -77,8 +78,12 @@
         return std::max(config_.version(), named_config_version_);
     }
 
-    /// Moment as of which this host surely knows of every configuration.
-    [[nodiscard]] cw_boot_time config_current_as_of() const { return config_lag_.current_as_of(); }
+    /// What this host knows of later configurations. Its sources answer if its copy of the entries
+    /// is current.
+    [[nodiscard]] cw_known_config known_config() const {
+        return {expected_config_version(), config_lag_.current_as_of(),
+                entries_lag_.at(cw_boot_clock::now()) <= options_.config_bound};
+    }
 
     /// Highest lag of the upstream entries since the last call.
     [[nodiscard]] std::chrono::milliseconds take_peak_entries_lag() {
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -69,7 +69,7 @@
             sync_.on_view(output.view);
         }
         feed_.on_readers(output.readers);
-        traffic_.set_known_config(feed_.expected_config_version(), feed_.config_current_as_of());
+        traffic_.set_known_config(feed_.known_config());
         sync_.set_store_suspected(feed_.is_store_suspected());
         sync_.on_stewards(output.stewards);
         sync_.on_crashes(output.crash_collecting_service, output.crashes);
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds stop_grace{6'000};
     /// Time after an outage of the store in which upstreams may rewrite entries that have expired.
     std::chrono::milliseconds entry_return_time{2'500};
+    /// Time after which a configuration that the store has acknowledged has to be in force.
+    std::chrono::milliseconds config_bound{2'000};
     /// Delay between two reads of the upstream entries.
     std::chrono::milliseconds upstream_poll_interval{500};
     /// Limits on the retries of all hosts together: a share of the requests, plus a fixed number of
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -190,6 +190,11 @@
             exchange.retry_after = unready_retry_after;
             co_return co_await send_refusal(exchange);
         }
+        if (traffic_.is_config_overdue(cw_boot_clock::now())) {
+            exchange.reason = "a later configuration has to be in force and is not received yet";
+            exchange.retry_after = unready_retry_after;
+            co_return co_await send_refusal(exchange);
+        }
         const auto target = exchange.request.target();
         const auto path = std::string_view{target.data(), target.size()};
         const auto host = exchange.request[boost::beast::http::field::host];
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -49,6 +49,7 @@
       answer_budget_{options.answer_buffer_limit()},
       request_budget_{options.request_buffer_limit()},
       pool_{context_},
+      config_bound_{options.config_bound},
       view_{std::make_shared<const cw_gateway_view>()},
       engine_{std::random_device{}()} {}
 
@@ -70,6 +71,12 @@
            (current_as_of < now && now - current_as_of > shortest_config_bound);
 }
 
+bool cw_gateway_traffic::is_config_overdue(cw_boot_time now) const {
+    const auto current_as_of = config_current_as_of_.load();
+    return view_->config != nullptr && view_->config->version() < known_config_version_ &&
+           are_sources_answering_ && current_as_of < now && now - current_as_of > config_bound_;
+}
+
 void cw_gateway_traffic::record_view_wait(const cw_gateway_view& view, cw_time_point published_at) {
     const std::chrono::nanoseconds wait = std::chrono::steady_clock::now() - published_at;
     if (wait > peak_view_wait_.load()) {
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -7,6 +7,7 @@
 #include "cw_gateway_metrics.h"
 #include "cw_gateway_view.h"
 #include "cw_key_load.h"
+#include "cw_known_config.h"
 #include "cw_leaving_notice.h"
 #include "cw_limit_table.h"
 #include "cw_log.h"
@@ -62,15 +63,19 @@
     [[nodiscard]] const std::shared_ptr<const cw_gateway_view>& view() const { return view_; }
     /// Replaces the view and wakes all wait_for_view(). Safe to call from any thread.
     void publish(std::shared_ptr<const cw_gateway_view> view);
-    /// Sets the latest version of the configuration that this host has heard of, and the moment as
-    /// of which there is no later one. Safe to call from any thread.
-    void set_known_config(std::uint64_t version, cw_boot_time current_as_of) {
-        known_config_version_ = version;
-        config_current_as_of_ = current_as_of;
+    /// Sets what this host knows of later configurations. Safe to call from any thread.
+    void set_known_config(const cw_known_config& known) {
+        known_config_version_ = known.version;
+        config_current_as_of_ = known.current_as_of;
+        are_sources_answering_ = known.are_sources_answering;
     }
     /// True if the view's configuration may be outdated: a later one is known to exist, or may
     /// exist for longer than a change may take to be in force.
     [[nodiscard]] bool is_config_outdated(cw_boot_time now) const;
+    /// True if a later configuration than the view's is known to exist, and may have been
+    /// acknowledged for longer than it may take to be in force, though this host's sources answer.
+    /// A host that is cut off goes on with what it has.
+    [[nodiscard]] bool is_config_overdue(cw_boot_time now) const;
     /// The longest time from a publish() until its view was in use, since the last call. Safe to
     /// call from any thread.
     [[nodiscard]] std::chrono::milliseconds take_peak_view_wait() {
@@ -145,10 +150,12 @@
     boost::asio::io_context context_{1};
     cw_connection_pool pool_;
     cw_limit_table limits_;
+    std::chrono::milliseconds config_bound_;
     std::shared_ptr<const cw_gateway_view> view_;
     std::list<cw_call_watch*> view_waiters_;
     std::atomic<std::uint64_t> known_config_version_{0};
     std::atomic<cw_boot_time> config_current_as_of_{cw_boot_time::max()};
+    std::atomic<bool> are_sources_answering_{false};
     std::atomic<std::chrono::nanoseconds> peak_view_wait_{std::chrono::nanoseconds{0}};
     std::unordered_map<std::string, cw_upstream_stats> stats_;
     std::map<std::string, cw_retry_budget> retry_budgets_;
--- a/Tests/Gateway/cw_directory_test.cpp
+++ b/Tests/Gateway/cw_directory_test.cpp
@@ -390,8 +390,10 @@
 TEST_CASE("settings_that_are_valid_are_applied_and_unknown_names_ignored") {
     const auto read = cw_read_gateway_settings(
         R"({"host": "h", "domain": "z", "listen": "127.0.0.1:5", "admin": "127.0.0.1:6", "new": 1,
-            "peer_port": 7, "store": "127.0.0.1:9", "stop_grace_s": 6.5, "longest_lease_s": 0.4})");
+            "peer_port": 7, "store": "127.0.0.1:9", "stop_grace_s": 6.5, "longest_lease_s": 0.4,
+            "config_bound_s": 2.5})");
     REQUIRE(read);
+    CHECK(read->config_bound == 2'500ms);
     CHECK(read->peer_address.port == 7);
     CHECK(read->stop_grace == 6'500ms);
     CHECK(read->ownership.lease == 400ms);
--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -317,6 +317,27 @@
     CHECK(follower.versions.contains(14));
 }
 
+// Guards against a host that does not know that it is late, and serves by the version of before.
+TEST_CASE_FIXTURE(domain_with_readers, "config_that_was_heard_of_and_does_not_arrive_is_known_of") {
+    readers[0].transfer_delay = 10s;
+    follower_path.hides_config = true;
+    put_config(2);
+    run_for(shortest_bound);
+    const auto known = follower.feed.known_config();
+    CHECK_FALSE(follower.versions.contains(2));
+    CHECK(known.version == 2);
+    CHECK(known.are_sources_answering);
+}
+
+TEST_CASE_FIXTURE(domain_with_readers, "host_that_is_cut_off_knows_that_no_source_answers") {
+    for (auto& reader : readers) {
+        reader.link.set_partitioned(true);
+    }
+    store_link.set_partitioned(true);
+    run_for(shortest_bound + 300ms);
+    CHECK_FALSE(follower.feed.known_config().are_sources_answering);
+}
+
 // Guards against a transfer for each version of a series, which share one weak link.
 TEST_CASE_FIXTURE(domain_with_readers, "series_of_versions_is_transferred_one_after_the_other") {
     readers[0].transfer_delay = 300ms;
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -98,6 +98,29 @@
     CHECK(cw_status_of(gateway.send("GET", "/safe/a", attempt_headers)) == 200);
 }
 
+// Guards against a known route that is served as an older version says for as long as a later one
+// takes to arrive.
+TEST_CASE("request_on_a_known_route_is_refused_while_a_later_configuration_is_overdue") {
+    cw_gateway_fixture gateway{{respond_ok()}};
+    const auto status = [&] {
+        return cw_status_of(gateway.send("GET", "/safe/a", attempt_headers));
+    };
+    gateway.set_known_config(2, 1'800ms);
+    CHECK(status() == 200);
+    gateway.set_known_config(2, 2'100ms);
+    check_refused(gateway.send("GET", "/safe/a", attempt_headers));
+    check_refused(gateway.send("POST", "/order/a", attempt_headers, "x"));
+    gateway.set_known_config(1, 2'100ms);
+    CHECK(status() == 200);
+}
+
+// Guards against a host that serves nothing when it is cut off after it has heard of a version.
+TEST_CASE("request_on_a_known_route_is_served_while_no_source_answers") {
+    cw_gateway_fixture gateway{{respond_ok()}};
+    gateway.set_known_config(2, 5'000ms, false);
+    CHECK(cw_status_of(gateway.send("GET", "/safe/a", attempt_headers)) == 200);
+}
+
 TEST_CASE("request_that_an_upstream_did_not_run_is_run_by_another") {
     cw_gateway_fixture gateway{{respond_with("503 Busy", not_run, ""), respond_ok()}};
     int answered = 0;
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -45,9 +45,11 @@
     void make_unreachable(std::size_t index);
     /// Publishes a view without a configuration, as before the first read from the store.
     void clear_config();
-    /// Sets which configuration this host has heard of, and for how long it has heard of no other.
-    void set_known_config(std::uint64_t version, std::chrono::milliseconds lag) {
-        traffic_.set_known_config(version, cw_boot_clock::now() - lag);
+    /// Sets which configuration this host has heard of, for how long it has heard of no other, and
+    /// whether its sources answer.
+    void set_known_config(std::uint64_t version, std::chrono::milliseconds lag,
+                          bool are_sources_answering = true) {
+        traffic_.set_known_config({version, cw_boot_clock::now() - lag, are_sources_answering});
     }
     /// Blocks the traffic thread for the duration, as on an overloaded machine.
     void block_traffic(std::chrono::milliseconds duration);
