Choose readers once a second at most

Cause: a host whose report is late drops out, which changes the ranking; all domains are told, and hosts change their source, which is work for the host that is late.

A choice is now followed by a second without one; the next takes in all that has changed meanwhile. A reader that is lost is skipped by its followers on their own, so names do not have to follow at once. Only domains whose readers change are logged. The choice is a state machine of its own now, cw_reader_chooser.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -7,8 +7,6 @@
 using namespace std::chrono_literals;
 /// Time without a report after which a host no longer counts as one that shares the retry budget.
 constexpr auto host_report_timeout = 2s;
-/// Time from when this host becomes the steward that collects crashes until it chooses readers.
-constexpr auto reader_selection_delay = 200ms;
 /// Service name for the key table of a deployment without keyed services.
 constexpr const char* keyless_service = "no-keyed-service";
 } // namespace
@@ -211,7 +209,9 @@
 void cw_gateway_control::handle(const cw_host_report& event, cw_boot_time now) {
     last_reports_[event.host] = now;
     auto& info = host_infos_[event.host];
-    host_infos_changed_ = host_infos_changed_ || info != event.host_info;
+    if (info != event.host_info) {
+        reader_chooser_.on_hosts_changed();
+    }
     info = event.host_info;
     for (auto& [service, steward] : stewards_) {
         steward->on_host_process(event.host, event.incarnation, now);
@@ -300,7 +300,9 @@
                   [now](const auto& host) { return now > host.second + host_report_timeout; });
     const auto removed_infos = std::erase_if(
         host_infos_, [&](const auto& info) { return !last_reports_.contains(info.first); });
-    host_infos_changed_ = host_infos_changed_ || removed_infos != 0;
+    if (removed_infos != 0) {
+        reader_chooser_.on_hosts_changed();
+    }
     choose_readers(now);
     const bool is_steward_of_any =
         std::any_of(stewards_.begin(), stewards_.end(),
@@ -320,36 +322,32 @@
 
 void cw_gateway_control::choose_readers(cw_boot_time now) {
     if (!is_crash_collector()) {
-        collector_since_ = {};
-        view_outdated_ = view_outdated_ || !readers_by_domain_.empty();
-        readers_by_domain_.clear();
+        view_outdated_ = reader_chooser_.stop() || view_outdated_;
         return;
     }
-    if (collector_since_ == cw_boot_time{}) {
-        collector_since_ = now;
-        host_infos_changed_ = true;
-    }
-    // All hosts report within a short time, and a choice made too early would change with each
-    // report.
-    if (!host_infos_changed_ || now < collector_since_ + reader_selection_delay) {
+    if (!reader_chooser_.is_due(now)) {
         return;
     }
-    host_infos_changed_ = false;
     auto hosts = host_infos_;
     hosts[self_.host] = host_info_;
     hosts[self_.host].is_store_suspected = store_unreachable_;
-    auto ranked_readers = cw_rank_readers(hosts, readers_by_domain_);
-    if (ranked_readers == readers_by_domain_) {
+    const auto before = reader_chooser_.readers();
+    if (!reader_chooser_.choose(hosts, now)) {
         return;
     }
-    readers_by_domain_ = std::move(ranked_readers);
     view_outdated_ = true;
-    for (const auto& [domain, ranking] : readers_by_domain_) {
-        record_event("readers named", domain,
-                     ranking.front() + " of " + std::to_string(hosts.size()) + " hosts, ticks " +
-                         std::to_string(tick_gap_.count()) + " ms apart");
+    const auto& readers = reader_chooser_.readers();
+    for (const auto& [domain, ranking] : readers) {
+        const auto known = before.find(domain);
+        if (known == before.end() || known->second != ranking) {
+            record_event("readers named", domain,
+                         ranking.front() + " of " + std::to_string(hosts.size()) +
+                             " hosts, ticks " + std::to_string(tick_gap_.count()) + " ms apart");
+        }
+    }
+    if (const auto own = readers.find(host_info_.domain); own != readers.end()) {
+        set_readers(own->second);
     }
-    set_readers(readers_by_domain_[host_info_.domain]);
 }
 
 void cw_gateway_control::set_readers(const std::vector<std::string>& readers) {
@@ -410,7 +408,7 @@
     view->hosts = host_count_;
     view->stopping = stopping_;
     view->requesting_successor = requesting_successor_;
-    view->readers = readers_by_domain_;
+    view->readers = reader_chooser_.readers();
     view->crashes = current_crash_counts();
     if (upstream_lists_ == nullptr) {
         upstream_lists_ = make_upstream_lists();
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -3,6 +3,7 @@
 #include "cw_control_event.h"
 #include "cw_crash_tracker.h"
 #include "cw_gateway_view.h"
+#include "cw_reader_chooser.h"
 #include "cw_steward.h"
 #include "cw_upstream_directory.h"
 
@@ -102,14 +103,11 @@
     /// Hosts that report to this one, with the time of their last report.
     std::map<std::string, cw_boot_time> last_reports_;
     cw_hosts_by_name host_infos_;
-    bool host_infos_changed_ = true;
     /// When the last clock tick was handled, and the time from the one before. A long time shows
     /// that the control state is behind with its work.
     cw_boot_time last_tick_{};
     std::chrono::milliseconds tick_gap_{0};
-    /// When this host began to collect crashes; the clock's epoch while it does not.
-    cw_boot_time collector_since_{};
-    cw_readers_by_domain readers_by_domain_;
+    cw_reader_chooser reader_chooser_;
     /// Addresses of the readers of this host's failure domain, in order of preference.
     std::vector<std::string> readers_;
     /// Number of hosts that share the retry budgets; 0 until it is known.
