Complete a response whose last bytes are there at its deadline

Cause: the first read after the deadline was the last one, whatever was missing. Now one more read is made where the rest is known to fit one; it does not wait, since the timer has expired.

--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <utility>
 
 namespace net = boost::asio;
 namespace http = boost::beast::http;
@@ -33,6 +34,12 @@
     return tl::unexpected(cw_error{step, peer, failure.message()});
 }
 
+/// True if the rest of the response is known to fit one read.
+bool fits_one_read(const http::response_parser<http::string_body>& parser) {
+    const auto length = parser.is_header_done() ? parser.content_length() : boost::none;
+    return length && *length - parser.get().body().size() <= cw_control_read_room;
+}
+
 std::string milliseconds_between(cw_time_point from, cw_time_point until) {
     return std::to_string(
         std::chrono::duration_cast<std::chrono::milliseconds>(until - from).count());
@@ -187,6 +194,7 @@
     std::uint64_t received =
         co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
     std::uint64_t reads = 1;
+    bool is_late = false;
     const auto begun_at = std::chrono::steady_clock::now();
     const bool has_begun = !failure;
     connection->expires_at(deadlines.complete);
@@ -196,8 +204,9 @@
             co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
         ++reads;
         // The stream's timer ends a wait. A read whose bytes are there already does not wait.
-        if (!failure && !parser.is_done() &&
-            std::chrono::steady_clock::now() >= deadlines.complete) {
+        const bool was_late =
+            std::exchange(is_late, std::chrono::steady_clock::now() >= deadlines.complete);
+        if (!failure && !parser.is_done() && is_late && (was_late || !fits_one_read(parser))) {
             failure = net::error::timed_out;
         }
     }
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -47,7 +47,8 @@
 
     /// The complete response of the peer at `address` ("IP:port"), or an error with the step that
     /// failed. A call fails at the deadline at the latest, or at the first turn of its thread after
-    /// that; a response that is complete then is returned.
+    /// that. A response that is complete then is returned, and so is one that one more read
+    /// completes without waiting.
     boost::asio::awaitable<cw_result<cw_http_response>>
     request(std::string address, cw_http_request message, cw_time_point deadline,
             cw_connection_choice choice = cw_connection_choice::idle_or_new);
--- a/Tests/Gateway/cw_busy_thread_test.cpp
+++ b/Tests/Gateway/cw_busy_thread_test.cpp
@@ -164,6 +164,17 @@
     CHECK(turns <= max_turns);
 }
 
+// Guards against a response that is thrown away although its last bytes are there.
+TEST_CASE_FIXTURE(busy_thread_that_receives,
+                  "answer_whose_last_bytes_are_there_at_the_deadline_is_complete") {
+    constexpr std::size_t bytes = 60'000;
+    work_per_turn = 300ms;
+    receive(bytes, false, std::chrono::steady_clock::now() + 200ms, 2s);
+    REQUIRE(result.has_value());
+    REQUIRE(result->has_value());
+    CHECK((*result)->body().size() == bytes);
+}
+
 // Guards against a deadline that a transfer outlasts whose bytes are always there.
 TEST_CASE_FIXTURE(busy_thread_that_receives, "call_on_a_busy_thread_ends_at_its_deadline") {
     constexpr auto time_limit = 200ms;
