--- a/Source/cw_body_relay.h
+++ b/Source/cw_body_relay.h
@@ -46,6 +46,7 @@
     namespace http = boost::beast::http;
     cw_body_relay_result result;
     std::array<char, cw_relay_block_bytes> block{};
+    buffer.reserve(cw_traffic_read_room);
     while (result.ok() && !serializer.is_done()) {
         message.body().data = nullptr;
         message.body().size = 0;
@@ -53,7 +54,6 @@
             parser.get().body().data = block.data();
             parser.get().body().size = block.size();
             before_read();
-            cw_make_read_room(buffer, parser, cw_traffic_read_room);
             co_await http::async_read(source, buffer, parser,
                                       cw_redirect_error(result.source_error));
             // need_buffer means that the block is full; it is not a failure.
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -51,6 +51,8 @@
                           bool are_sources_answering = true) {
         traffic_.set_known_config({version, cw_boot_clock::now() - lag, are_sources_answering});
     }
+    /// The event loop of the traffic thread.
+    [[nodiscard]] boost::asio::io_context& traffic_context() { return traffic_.context(); }
     /// Blocks the traffic thread for the duration, as on an overloaded machine.
     void block_traffic(std::chrono::milliseconds duration);
     /// Requests a stop of the process, which ends after the given time, while other hosts go on.
--- a/Tests/Routing/cw_routed_call.cpp
+++ b/Tests/Routing/cw_routed_call.cpp
@@ -104,6 +104,10 @@
     std::this_thread::sleep_for(after);
 }
 
+net::io_context& cw_routed_call::context() {
+    return thread_->traffic().context;
+}
+
 void cw_routed_call::block_thread(std::chrono::milliseconds length) {
     net::post(thread_->traffic().context, [length] { std::this_thread::sleep_for(length); });
 }
--- a/Tests/Routing/cw_routed_call.h
+++ b/Tests/Routing/cw_routed_call.h
@@ -32,6 +32,8 @@
     /// Sends one request and closes the connection after the given time.
     void call_and_leave(const std::string& target, std::chrono::milliseconds after);
 
+    /// The event loop of the traffic thread.
+    [[nodiscard]] boost::asio::io_context& context();
     /// Blocks the traffic thread for the given time, as on an overloaded machine.
     void block_thread(std::chrono::milliseconds length);
 
