Count the room for a body before the body comes

What it could cost: room for a read was made before the read and counted after it, so callers and upstreams that send a head and no body held up to 16 KiB each that neither of the two bounds on memory saw: 16 MB for a thousand of them, on a host of 160 MB.

Change: the room is counted as it is made, and no room is made once a message is complete.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -286,9 +286,9 @@
         boost::system::error_code failure;
         std::uint64_t received = 0;
         while (!failure && !parser.is_done()) {
-            cw_make_read_room(buffer, parser, cw_traffic_read_room);
             received += co_await http::async_read_some(connection, buffer, parser,
                                                        cw_redirect_error(failure));
+            cw_make_read_room(buffer, parser, cw_traffic_read_room);
             memory.resize(parser.get().body().capacity() + buffer.capacity());
             if (!failure && (received > max_transfer_bytes || memory.is_evicted())) {
                 failure = http::make_error_code(http::error::body_limit);
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -159,14 +159,18 @@
             boost::system::error_code ignored;
             caller_.cancel(ignored);
         });
-        while (!failure && !parser.is_done() && !memory.is_evicted()) {
+        while (!failure && !parser.is_done()) {
             cw_make_read_room(buffer_, parser, cw_traffic_read_room);
+            memory.resize(parser.get().body().capacity() + buffer_.capacity());
+            if (memory.is_evicted()) {
+                break;
+            }
             co_await boost::beast::http::async_read_some(caller_, buffer_, parser,
                                                          cw_redirect_error(failure));
-            memory.resize(parser.get().body().capacity() + buffer_.capacity());
         }
-        memory.on_eviction(nullptr);
         cw_release_read_room(buffer_);
+        memory.resize(parser.get().body().capacity() + buffer_.capacity());
+        memory.on_eviction(nullptr);
         co_return failure;
     }
 
--- a/Source/cw_read_room.h
+++ b/Source/cw_read_room.h
@@ -15,14 +15,18 @@
 /// Room, in bytes, that a connection keeps between two messages.
 inline constexpr std::size_t cw_idle_read_room = 4'096;
 
-/// Makes room in a buffer for the next read of a message: for the rest of its body if its length is
-/// known, else for twice as much as before, up to `max_room`. A buffer that keeps its first size
+/// Makes room in a buffer for the next read of a body: for as much as its length if that is known,
+/// else for twice as much as before, up to `max_room`. Does nothing while the head is incomplete or
+/// when the message is complete. A buffer that keeps its first size
 /// takes 512 bytes a read, and each read is a turn of a thread that has other work in between.
 template <bool IsRequest>
 void cw_make_read_room(boost::beast::flat_buffer& buffer,
                        const boost::beast::http::basic_parser<IsRequest>& parser,
                        std::size_t max_room) {
-    const auto length = parser.is_header_done() ? parser.content_length() : boost::none;
+    if (!parser.is_header_done() || parser.is_done()) {
+        return;
+    }
+    const auto length = parser.content_length();
     const auto wanted = length ? *length : std::uint64_t{buffer.capacity()} * 2;
     const auto room = static_cast<std::size_t>(std::min<std::uint64_t>(wanted, max_room));
     buffer.reserve(std::min(room, buffer.max_size()));
--- a/Tests/Gateway/cw_endless_test.cpp
+++ b/Tests/Gateway/cw_endless_test.cpp
@@ -106,6 +106,14 @@
     };
 }
 
+/// The head of an answer of the given length, whose body does not come.
+cw_raw_upstream::script head_only(std::size_t length) {
+    return [length](const std::string&) {
+        return cw_raw_upstream::reply{answer_head + "Content-Length: " + std::to_string(length) +
+                                      "\r\n\r\n"};
+    };
+}
+
 /// Statuses of the answers to requests that are sent at the same time.
 std::vector<int> send_at_once(cw_gateway_fixture& gateway, std::size_t count,
                               const std::string& method, const std::string& path) {
@@ -249,6 +257,27 @@
 }
 
 // Guards against requests that are bounded one by one and not together.
+// Guards against room for bodies that counts only when they come.
+TEST_CASE("answers_whose_bodies_do_not_come_count_with_the_room_for_them") {
+    constexpr std::size_t length = 16'000;
+    cw_gateway_fixture gateway{{head_only(length)}};
+    std::jthread caller{
+        [&] { static_cast<void>(gateway.send("POST", "/order/a", attempt_headers, "x")); }};
+    std::this_thread::sleep_for(300ms);
+    CHECK(gateway.answer_bytes() >= length);
+}
+
+TEST_CASE("requests_whose_bodies_do_not_come_count_with_the_room_for_them") {
+    constexpr std::size_t length = 9'000;
+    cw_gateway_fixture gateway{{whole_answer(10)}};
+    static_cast<void>(
+        cw_send_raw(gateway.port(),
+                    {"POST /order/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers +
+                     "Content-Length: " + std::to_string(length) + "\r\n\r\n"},
+                    0ms, 200ms));
+    CHECK(gateway.take_peak_request_bytes() >= length);
+}
+
 TEST_CASE("requests_that_are_large_together_are_refused_at_once_beyond_the_limit") {
     cw_gateway_options options;
     options.memory_limit = 200'000;
