Move the time limits of the feed into a header of their own

Change: its 14 time limits stand in cw_feed_times.h, word for word; no behaviour. What is left is one class whose parts share their state, and is not split here.

--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -9,6 +9,7 @@
 #include "cw_feed_client.h"
 #include "cw_feed_log.h"
 #include "cw_feed_state.h"
+#include "cw_feed_times.h"
 #include "cw_gateway_options.h"
 #include "cw_gateway_port.h"
 #include "cw_known_config.h"
@@ -107,7 +108,7 @@
         const auto config = cw_query_number(target, "config", 0);
         const auto part = cw_feed_part_from_name(cw_query_value(target, "part"));
         const auto until =
-            deadline_in(part == cw_feed_part::entries ? long_poll_wait : milliseconds{0});
+            deadline_in(part == cw_feed_part::entries ? times::long_poll_wait : milliseconds{0});
         const auto has_changes = [&] {
             return !reads_store_ || is_store_unreachable_ || upstreams_.has_changes_since(known) ||
                    config_.version() > config;
@@ -137,42 +138,7 @@
     using milliseconds = std::chrono::milliseconds;
     using void_task = boost::asio::awaitable<void>;
 
-    /// Timeout of calls to the store that are no watches.
-    static constexpr milliseconds store_timeout{1'200};
-    /// Mean delay before a reader repeats a failed call to the store.
-    static constexpr milliseconds store_retry_interval{250};
-    /// The same for a host that is not a reader; longer, to limit the load of all hosts on a store
-    /// that is down.
-    static constexpr milliseconds non_reader_retry_interval{1'000};
-    /// Longest time that the store may hold a watch on upstreams open. A watch that is pending when
-    /// the store stops responding is never answered, even after the store is back, and no leaving
-    /// upstream is seen until its deadline. Followers judge a reader by the age of the store's last
-    /// response, so a watch without changes must be short.
-    static constexpr milliseconds upstream_watch_wait{400};
-    /// Time that the response to a watch may take beyond the wait.
-    static constexpr milliseconds watch_grace{1'500};
-    /// Time after the wait of a call within which the store sends the first byte of its response.
-    static constexpr milliseconds first_byte_grace{500};
-    /// Longest time that the store may hold a watch on the configuration open. A watch whose
-    /// connection was cut cannot be distinguished from one without changes, so the wait is bounded.
-    static constexpr milliseconds config_watch_wait{700};
-    /// Longest time for which a reader holds a request for entries open.
-    static constexpr milliseconds long_poll_wait{250};
-    /// Time that the transfer of the answer may take beyond `long_poll_wait`.
-    static constexpr milliseconds response_grace{350};
-    /// Timeout of a watch that does not wait, as a host sends it when it switches to the store and
-    /// after a failure. The idle connection may have been lost without notice in the meantime.
-    static constexpr milliseconds first_watch_grace{700};
-    /// Time within which the store sends the first byte of a read that is made because a copy lags.
-    static constexpr milliseconds lagging_read_first_byte{300};
-    /// Shortest outage of the store in which an entry can expire although its upstream lives.
-    static constexpr milliseconds shortest_entry_expiry{2'000};
-    /// Interval at which a host without a source selects one again.
-    static constexpr milliseconds source_poll_interval{20};
-    /// Interval at which due health checks of suspected readers are started and lags are checked. A
-    /// host that follows a reader also checks at this interval whether it has to read
-    /// configurations from the store.
-    static constexpr milliseconds check_poll_interval{50};
+    using times = cw_feed_times;
 
     /// Versions of the configuration that a watch may bring at once.
     static constexpr std::uint64_t max_watched_versions = 2;
@@ -185,7 +151,8 @@
 
     /// Deadlines of a call to the store that the store holds open for up to `wait`.
     static cw_call_deadlines deadlines_after(milliseconds wait, milliseconds grace) {
-        return {deadline_in(wait + std::min(first_byte_grace, grace)), deadline_in(wait + grace)};
+        return {deadline_in(wait + std::min(times::first_byte_grace, grace)),
+                deadline_in(wait + grace)};
     }
 
     [[nodiscard]] cw_feed_answer make_answer(cw_boot_time now) const {
@@ -217,8 +184,8 @@
     }
 
     void_task pause_after_failure() {
-        co_await jittered_pause(selector_.is_reader() ? store_retry_interval
-                                                      : non_reader_retry_interval);
+        co_await jittered_pause(selector_.is_reader() ? times::store_retry_interval
+                                                      : times::non_reader_retry_interval);
     }
 
     // -- selection of the source
@@ -255,7 +222,7 @@
             } else if (source.type == cw_feed_source::kind::reader) {
                 co_await follow_reader(source.reader);
             } else {
-                co_await cw_pause(context_, source_poll_interval);
+                co_await cw_pause(context_, times::source_poll_interval);
             }
         }
     }
@@ -267,7 +234,7 @@
             // The first configuration is always read from the store, also by a host that follows a
             // reader.
             if (config_position_.is_known() && !reads_store_) {
-                co_await cw_pause(context_, check_poll_interval);
+                co_await cw_pause(context_, times::check_poll_interval);
                 continue;
             }
             cw_result<cw_config_change> change;
@@ -281,9 +248,10 @@
                 change = co_await store_.read_config(whole_config_deadlines());
                 is_reading_config_ = false;
             } else {
-                wait = std::exchange(config_watch_wait_, config_watch_wait);
-                change = co_await store_.watch_config(
-                    from, wait, deadlines_after(wait, watch_grace), max_config_watch_bytes());
+                wait = std::exchange(config_watch_wait_, times::config_watch_wait);
+                change = co_await store_.watch_config(from, wait,
+                                                      deadlines_after(wait, times::watch_grace),
+                                                      max_config_watch_bytes());
             }
             if (is_config_unreachable_ != !change) {
                 is_config_unreachable_ = !change;
@@ -388,15 +356,16 @@
         const auto sent_at = cw_boot_clock::now();
         const auto wait = is_listing ? milliseconds{0} : upstream_watch_wait_;
         if (is_listing) {
-            change = co_await store_.list_upstreams(store_timeout);
+            change = co_await store_.list_upstreams(times::store_timeout);
         } else {
-            const auto grace = upstream_watch_wait_.count() == 0 ? first_watch_grace : watch_grace;
+            const auto grace =
+                upstream_watch_wait_.count() == 0 ? times::first_watch_grace : times::watch_grace;
             change = co_await store_.watch_upstreams(watch_position_, upstream_watch_wait_,
                                                      deadlines_after(upstream_watch_wait_, grace));
         }
         // The first watch after a failure does not wait, so that a store that is still down is
         // detected soon.
-        upstream_watch_wait_ = change ? upstream_watch_wait : milliseconds{0};
+        upstream_watch_wait_ = change ? times::upstream_watch_wait : milliseconds{0};
         are_entries_refused_ = read_result_of(change, sent_at) == cw_lag_read_result::refused;
         if (!change) {
             on_store_failure(change.error().text());
@@ -434,7 +403,7 @@
     /// have expired whose upstreams live.
     [[nodiscard]] bool can_entries_have_expired() const {
         const auto lag = entries_lag_.at(cw_boot_clock::now());
-        return lag >= shortest_entry_expiry && lag != cw_replication_lag::unknown;
+        return lag >= times::shortest_entry_expiry && lag != cw_replication_lag::unknown;
     }
 
     void apply_entries(cw_upstream_delta received_delta) {
@@ -484,8 +453,8 @@
                 config_guard_.take_due_read(config_lag, now)) {
                 spawn(read_lagging_config(config_lag));
             }
-            const auto due_at = deadline_in(check_poll_interval);
-            co_await cw_pause(context_, check_poll_interval);
+            const auto due_at = deadline_in(times::check_poll_interval);
+            co_await cw_pause(context_, times::check_poll_interval);
             thread_wait_ =
                 std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - due_at);
             peak_thread_wait_ = std::max(peak_thread_wait_, thread_wait_);
@@ -499,8 +468,8 @@
                now - config_transfer_started_at_ < catch_up_.patience();
     }
 
-    static cw_call_deadlines lagging_read_deadlines(milliseconds timeout = store_timeout) {
-        return {deadline_in(lagging_read_first_byte), deadline_in(timeout)};
+    static cw_call_deadlines lagging_read_deadlines(milliseconds timeout = times::store_timeout) {
+        return {deadline_in(times::lagging_read_first_byte), deadline_in(timeout)};
     }
 
     /// How a call that was sent at `sent_at` has ended. The store, or its host, has refused a call
@@ -511,7 +480,8 @@
         if (change) {
             return cw_lag_read_result::answered;
         }
-        const bool has_failed_at_once = cw_boot_clock::now() - sent_at < lagging_read_first_byte;
+        const bool has_failed_at_once =
+            cw_boot_clock::now() - sent_at < times::lagging_read_first_byte;
         return change.error().is_refusal || has_failed_at_once ? cw_lag_read_result::refused
                                                                : cw_lag_read_result::unanswered;
     }
@@ -526,7 +496,7 @@
         }
         const bool is_listing = !from.is_known() || (change && change->is_history_gone);
         if (is_listing) {
-            change = co_await store_.list_upstreams(store_timeout);
+            change = co_await store_.list_upstreams(times::store_timeout);
         }
         entries_guard_.on_read_ended(read_result_of(change, sent_at), cw_boot_clock::now());
         feed_log_.lagging_copy_read("upstreams", source_name(), lag,
@@ -579,7 +549,8 @@
     /// Sends a request to a reader and passes the outcome to the reader selection.
     boost::asio::awaitable<cw_result<cw_feed_answer>> poll_reader(std::string reader,
                                                                   cw_feed_part part) {
-        auto answer = co_await request_feed(reader, part, long_poll_wait + response_grace);
+        auto answer =
+            co_await request_feed(reader, part, times::long_poll_wait + times::response_grace);
         const auto now = cw_boot_clock::now();
         if (answer) {
             selector_.on_status(reader, answer->status, now);
@@ -727,7 +698,7 @@
                     spawn(check_store());
                 }
             }
-            co_await cw_pause(context_, check_poll_interval);
+            co_await cw_pause(context_, times::check_poll_interval);
         }
     }
 
@@ -772,9 +743,9 @@
     cw_store_position watch_position_;
     /// Wait of the next watch on the configuration. The first after a failure or a change of the
     /// source does not wait: a change may have been missed.
-    milliseconds config_watch_wait_{config_watch_wait};
+    milliseconds config_watch_wait_{times::config_watch_wait};
     /// Wait of the next watch on upstreams.
-    milliseconds upstream_watch_wait_{upstream_watch_wait};
+    milliseconds upstream_watch_wait_{times::upstream_watch_wait};
     /// When the store last responded to this host or to its reader.
     cw_boot_time last_store_response_{};
     cw_replication_lag entries_lag_;
