Show both ways in which a reader of the store hears of a later version

Cause: the case of a watch that is cut had a configuration that is too long for the watch in fact, so a wrong variant without the knowledge from a cut was not caught; a variant of the room for requests counted it first and was not caught either.

--- a/Tests/Gateway/cw_feed_lag_test.cpp
+++ b/Tests/Gateway/cw_feed_lag_test.cpp
@@ -354,6 +354,18 @@
 // Guards against a host that reads the store, and does not know that it lacks a version whose
 // transfer is cut.
 TEST_CASE_FIXTURE(domain_with_readers, "config_whose_watch_is_cut_is_known_of_by_its_reader") {
+    put_config(2, many_routes);
+    run_for(1s);
+    make_follower_read_the_store();
+    store_link.set_rate(weak_link / 50);
+    put_config(3, many_routes);
+    run_for(3s);
+    CHECK_FALSE(follower.versions.contains(3));
+    CHECK(follower.feed.known_config().version == 3);
+}
+
+TEST_CASE_FIXTURE(domain_with_readers,
+                  "config_that_is_too_long_for_a_watch_is_known_of_by_its_reader") {
     make_follower_read_the_store();
     store_link.set_rate(weak_link / 50);
     put_config(2, many_routes);
