--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -159,9 +159,12 @@
             boost::system::error_code ignored;
             caller_.cancel(ignored);
         });
+        const auto count_memory = [&] {
+            memory.resize(parser.get().body().capacity() + buffer_.capacity());
+        };
         while (!failure && !parser.is_done()) {
             cw_make_read_room(buffer_, parser, cw_traffic_read_room);
-            memory.resize(parser.get().body().capacity() + buffer_.capacity());
+            count_memory();
             if (memory.is_evicted()) {
                 break;
             }
@@ -169,7 +172,7 @@
                                                          cw_redirect_error(failure));
         }
         cw_release_read_room(buffer_);
-        memory.resize(parser.get().body().capacity() + buffer_.capacity());
+        count_memory();
         memory.on_eviction(nullptr);
         co_return failure;
     }
