Do not cut a key table that keeps coming

What callers saw: 503, the key has no settled owner, on hosts of all zones for seconds, while the steward had settled the moves. Cause: an answer to a report was cut 500 ms after the report, however fast it came, and the next report asked for the same changes and more. After a wave of moves all hosts ask one steward at once; if its link or its thread needs over 250 ms for all answers together, none of them ends, and nothing ends the repeats. Class: a transfer that is cut at a deadline and begun anew, by many at once, which keeps up the load that made it late. Why it works: the first byte is due after 500 ms as before, on new connections too, so a silent steward is noticed as early; an answer that has begun ends only after a pause of 500 ms or after 10 s.

--- a/Source/cw_gateway_sync.cpp
+++ b/Source/cw_gateway_sync.cpp
@@ -19,9 +19,14 @@
 
 /// Interval of reports, and longest time for which a host holds another host's request open.
 constexpr milliseconds report_interval{250};
-/// Time that the transfer of an answer may take beyond the interval; also the delay after a report
-/// that failed.
+/// Time beyond the interval after which a steward that has sent nothing counts as silent; also the
+/// delay after a report that failed.
 constexpr milliseconds response_grace{250};
+/// Longest pause of a steward's answer that has begun.
+constexpr milliseconds response_pause{500};
+/// Time limit of an answer that goes on coming. A key table that is cut off is asked for again from
+/// its beginning, by all hosts of a busy link at once.
+constexpr milliseconds transfer_time{10'000};
 constexpr std::string_view report_path{"/v1/report"};
 constexpr std::string_view succession_path{"/v1/succession"};
 
@@ -29,6 +34,12 @@
     return std::chrono::steady_clock::now() + time;
 }
 
+/// Deadlines of a report to a steward.
+cw_call_deadlines report_deadlines() {
+    return {deadline_in(report_interval + response_grace), deadline_in(transfer_time),
+            response_pause, true};
+}
+
 cw_http_request post(const std::string& address, const std::string& target, std::string body) {
     cw_http_request request{http::verb::post, target, 11};
     request.set(http::field::host, address);
@@ -167,9 +178,8 @@
     const auto target = report_target(known ? cw_table_version::of(*known) : cw_table_version{},
                                       crash_change_log_.digest());
     const auto sent_at = cw_boot_clock::now();
-    const auto answer =
-        co_await http_.request(steward.address, post(steward.address, target, report.to_json()),
-                               deadline_in(report_interval + response_grace));
+    const auto answer = co_await http_.request(
+        steward.address, post(steward.address, target, report.to_json()), report_deadlines());
     if (answer && handle_response(service, known, *crashes, *answer)) {
         exchange_log_.report_answered(service, known ? *known : cw_key_table{},
                                       answer->body().size(), sent_at, cw_boot_clock::now());
--- a/Source/cw_http_client.cpp
+++ b/Source/cw_http_client.cpp
@@ -136,6 +136,8 @@
 cw_http_client::request_within(std::string address, cw_http_request message, call_limits limits,
                                cw_connection_choice choice) {
     const auto& deadlines = limits.deadlines;
+    const auto first_byte_on_new =
+        deadlines.is_first_byte_final ? deadlines.first_byte : deadlines.complete;
     const auto endpoint = cw_address::parse(address);
     if (!endpoint) {
         co_return tl::unexpected(cw_error{step_connect, address, "not an IP:port"});
@@ -156,12 +158,12 @@
         // peer is reachable.
         connection.reset();
         if (cw_is_response_too_large(response.error()) ||
-            std::chrono::steady_clock::now() >= deadlines.complete) {
+            std::chrono::steady_clock::now() >= first_byte_on_new) {
             co_return response;
         }
     }
     connection = std::make_unique<stream>(context_);
-    connection->expires_at(deadlines.complete);
+    connection->expires_at(first_byte_on_new);
     boost::system::error_code failure;
     co_await connection->async_connect(endpoint->tcp(), cw_redirect_error(failure));
     if (failure) {
@@ -172,8 +174,8 @@
     // socket is closed. It is set in advance because the stream closes its socket by itself when a
     // deadline passes.
     connection->socket().set_option(net::socket_base::linger{true, 0}, failure);
-    co_return co_await try_once(connection, address, message,
-                                {{deadlines.complete, deadlines.complete}, limits.max_bytes});
+    limits.deadlines.first_byte = first_byte_on_new;
+    co_return co_await try_once(connection, address, message, limits);
 }
 
 net::awaitable<cw_result<cw_http_response>>
@@ -197,8 +199,10 @@
     bool is_late = false;
     const auto begun_at = std::chrono::steady_clock::now();
     const bool has_begun = !failure;
-    connection->expires_at(deadlines.complete);
     while (!failure && !parser.is_done()) {
+        connection->expires_at(
+            std::min(deadlines.complete,
+                     cw_time_point{std::chrono::steady_clock::now() + deadlines.longest_pause}));
         cw_make_read_room(buffer, parser, cw_control_read_room);
         received +=
             co_await http::async_read_some(*connection, buffer, parser, cw_redirect_error(failure));
--- a/Source/cw_http_client.h
+++ b/Source/cw_http_client.h
@@ -54,7 +54,8 @@
             cw_connection_choice choice = cw_connection_choice::idle_or_new);
 
     /// The same for requests that may be repeated: one on a reused connection that brings no byte
-    /// of the response in time is sent once more on a new connection.
+    /// of the response in time is sent once more on a new connection, unless its first byte is
+    /// final.
     boost::asio::awaitable<cw_result<cw_http_response>>
     request(std::string address, cw_http_request message, cw_call_deadlines deadlines);
 
--- a/Tests/Gateway/cw_gateway_sync_test.cpp
+++ b/Tests/Gateway/cw_gateway_sync_test.cpp
@@ -2,10 +2,12 @@
 #include "cw_gateway_options.h"
 #include "cw_gateway_sync.h"
 #include "cw_gateway_traffic.h"
+#include "cw_raw_upstream.h"
 #include "cw_steward_reply.h"
 #include "cw_succession_reply.h"
 
 #include <doctest/doctest.h>
+#include <string>
 
 using namespace std::chrono_literals;
 
@@ -51,6 +53,14 @@
         context.run_for(1'200ms);
     }
 
+    /// Reports for 1.2 s to a steward that sends the given bytes.
+    void report_to(const cw_raw_upstream& raw_steward) {
+        steward.address = raw_steward.address();
+        sync.start();
+        sync.on_stewards({{service, steward}});
+        context.run_for(1'200ms);
+    }
+
     template <typename Event>
     [[nodiscard]] std::size_t count() const {
         return static_cast<std::size_t>(
@@ -75,6 +85,46 @@
     }
 };
 
+/// Sent again and again after a reply, as the rest of its body.
+const std::string rest_piece(1'000, ' ');
+
+std::string response_head(std::size_t body_size) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+}
+
+/// A table with ranges that move, as many as given, from two earlier owners each.
+cw_key_table moved_table(std::uint32_t ranges) {
+    const auto owner = [](std::uint32_t number) {
+        return cw_key_owner{"i-" + std::to_string(10'000'000 + number % 300), 1'765'000'000'000'000,
+                            "10.200.12." + std::to_string(number % 300) + ":20080"};
+    };
+    cw_key_table table;
+    table.term = {0, 3};
+    table.edition = 12;
+    table.steward = {"front-1", 7, "127.0.0.1:" + std::to_string(own_port)};
+    table.are_owners_uncertain = true;
+    table.last_fence = 100'000;
+    table.ranges.clear();
+    const auto size = (cw_last_key + 1) / ranges;
+    for (std::uint32_t index = 0; index < ranges; ++index) {
+        cw_key_range range;
+        range.first = index * size;
+        range.last = index + 1 == ranges ? cw_last_key : (index + 1) * size - 1;
+        range.owner = owner(index);
+        range.fence = 90'000 + index;
+        range.previous_owners = {owner(index + 1), owner(index + 2)};
+        table.ranges.push_back(std::move(range));
+    }
+    return table;
+}
+
+cw_steward_reply reply_with_table() {
+    cw_steward_reply reply;
+    reply.table = moved_table(1).to_json();
+    reply.is_full_table = true;
+    return reply;
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(reporting_host, "report_with_an_answer_of_wrong_types_is_sent_again") {
@@ -85,6 +135,42 @@
     CHECK(count<cw_ownership_event>() == 3);
 }
 
+// Guards against key tables that are cut at a deadline and begun anew, so that no host gets them.
+TEST_CASE_FIXTURE(reporting_host, "key_table_that_takes_longer_than_a_report_is_received_at_once") {
+    const auto text = reply_with_table().to_json();
+    const std::string rest(40 * rest_piece.size(), ' ');
+    const cw_raw_upstream raw{[&](const std::string&) {
+        cw_raw_upstream::reply slow{response_head(text.size() + rest.size()) + text};
+        slow.endless = rest_piece;
+        slow.endless_interval = 20ms;
+        return slow;
+    }};
+    report_to(raw);
+    CHECK(count<cw_steward_answer>() == 1);
+    CHECK(count<cw_ownership_event>() == 0);
+    CHECK(raw.requests() <= 2);
+}
+
+TEST_CASE_FIXTURE(reporting_host, "steward_that_stops_in_the_middle_of_a_key_table_is_given_up") {
+    const auto text = reply_with_table().to_json();
+    const cw_raw_upstream raw{[&](const std::string&) {
+        return cw_raw_upstream::reply{response_head(text.size()) + text.substr(0, text.size() / 2)};
+    }};
+    report_to(raw);
+    CHECK(count<cw_steward_answer>() == 0);
+    CHECK(count<cw_ownership_event>() >= 1);
+}
+
+TEST_CASE_FIXTURE(reporting_host, "steward_that_sends_nothing_is_given_up_after_a_report") {
+    const cw_raw_upstream raw{[&](const std::string&) {
+        cw_raw_upstream::reply none;
+        none.delay = 1'000ms;
+        return none;
+    }};
+    report_to(raw);
+    CHECK(count<cw_ownership_event>() >= 1);
+}
+
 TEST_CASE("steward_reply_that_was_written_reads_the_same") {
     cw_steward_reply reply;
     reply.hosts = 12;
