Refuse by the age of the configuration in force, not of the one received

What callers saw: a host that has received a configuration and not put it in force serves known routes by the version of before, and answers 404 for routes that the later one has, for as long as its control state or a thread is late.

Cause: the lag that the guards used ended when the feed had received a version, and the traffic learned of later versions only with an output of the control state, that is by the way that is late.

Change: the feed, on the I/O thread, tells the traffic itself: of a version that it receives, before the control state gets it, of one that a reader names, of each moment as of which its copy is current, and every 50 ms. cw_config_in_force keeps for each version from the one in force on the last moment as of which it was the latest, so the age of the one in force goes on when a later one is received, and a series of versions that each take a moment does not add up. A received version that is overdue is refused for (503, not run) whether or not sources answer: the lateness is the host's own. One that was only heard of still counts only while sources answer, so a host that is cut off serves on.

Known consequence: a host that was cut off for longer than its bound and then receives a version refuses until that is in force. It did so already between hearing of a version and receiving it.

Metrics: config_in_force_version and config_in_force_lag_peak_seconds are new; config_version and config_age_seconds keep their values, and the help now says that they tell what was received. "A configuration is in force for requests." has received_ms. The reason of the refusal ends in "is not yet", as the version may have been received.

Ruled out for now: a shorter way of the configuration itself to the traffic thread. A configuration without its key tables and stewards would have routes whose keys have no table, the order against views that are on their way has to be kept, and it would make two owners of the view.

Evidence: with the tests and without the fix (the feed had the reporter and did not call it) all five cases of the shell failed: 200 instead of 503 for overdue versions that had been received, with and without sources, and neither outdated nor overdue after the feed had received version 2. The last of them, of a host that is cut off, fails there for want of reports only. With the fix the seven cases pass, and those of cw_forwarding_test, cw_lag_guard_test, cw_config_catch_up_test and cw_feed_lag_test. cw_busy_thread_test: 8 of 9; call_that_sends_on_a_busy_thread_ends_at_its_deadline took 369 to 421 ms of 350 in three of four runs beside other builds (load average 13 after the last, 18 over five minutes). This change does not touch its code; it was not run without the change. Wrong variants, by hand: the four new ones, the one whose text moved, and overdue-configuration-served and 404-from-an-outdated-configuration fail their cases.

Cost at the size to design for: one map node a host for each version that waits to be in force, one uncontended lock a request; no messages and no calls to the store.

--- a/Source/cw_feed_state.h
+++ b/Source/cw_feed_state.h
@@ -7,7 +7,7 @@
 
 /// What a host knows from the store, and since when, for its metrics.
 struct cw_feed_state {
-    /// Version of the configuration in force; 0 if none is known.
+    /// Version of the configuration that was received last; 0 if none is known.
     std::uint64_t config_version = 0;
     /// When this host received that version.
     cw_boot_time config_received_at{};
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -41,6 +41,8 @@
 public:
     /// Passes an event to the control state.
     using deliver_function = std::function<void(cw_control_event)>;
+    /// Receives what this host knows of later configurations.
+    using known_config_function = std::function<void(const cw_known_config&)>;
 
     /// `self` is this host's "IP:port" for other hosts, as rankings of readers list it.
     cw_gateway_feed(boost::asio::io_context& context, const cw_gateway_options& options,
@@ -63,6 +65,12 @@
         spawn(limit_lags());
     }
 
+    /// Sets the function that is told of each version that is received or heard of, at once, and
+    /// several times a second how current the latest one is.
+    void set_known_config_reporter(known_config_function report) {
+        report_known_config_ = std::move(report);
+    }
+
     /// True while calls of this host to the store fail.
     [[nodiscard]] bool is_store_suspected() const { return selector_.is_store_suspected(); }
 
@@ -79,7 +87,7 @@
     /// is current.
     [[nodiscard]] cw_known_config known_config() const {
         return {catch_up_.latest_known(config_.version()), config_lag_.current_as_of(),
-                entries_lag_.at(cw_boot_clock::now()) <= options_.config_bound};
+                entries_lag_.at(cw_boot_clock::now()) <= options_.config_bound, config_.version()};
     }
 
     /// Highest lag of the upstream entries since the last call.
@@ -173,6 +181,8 @@
         return has_change || cw_boot_clock::now() - sent_at < wait ? sent_at : sent_at + wait;
     }
 
+    void report_known_config() const { report_known_config_(known_config()); }
+
     void spawn(void_task work) { cw_spawn(context_, std::move(work), log_); }
 
     /// Waits for 7/8 to 9/8 of the given length, at random, so that hosts do not call at the same
@@ -280,8 +290,7 @@
                 config_watch_wait_ = milliseconds{0};
             }
             if (!is_history_gone) {
-                config_lag_.on_current_as_of(current_as_of(sent_at, wait, has_config),
-                                             cw_boot_clock::now());
+                on_config_current_as_of(current_as_of(sent_at, wait, has_config));
             }
         }
     }
@@ -329,7 +338,7 @@
             config_position_ = change->position;
             config_.forget_changes();
             apply_config(std::move(*change), sent_at, "new era");
-            config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
+            on_config_current_as_of(sent_at);
         }
     }
 
@@ -344,8 +353,9 @@
                                   std::chrono::duration_cast<milliseconds>(now - sent_at),
                                   config_lag_.at(now), thread_wait_);
         config_received_at_ = now;
-        deliver_(cw_config_received{change.config});
         config_.replace(change.config->version(), std::move(change.source), reads_store_);
+        report_known_config();
+        deliver_(cw_config_received{change.config});
         changed_.notify_all();
     }
 
@@ -440,6 +450,7 @@
     /// just been refused by the store and pauses.
     void_task limit_lags() {
         while (true) {
+            report_known_config();
             const auto now = cw_boot_clock::now();
             const auto entries_lag = entries_lag_.at(now);
             const auto config_lag = config_lag_.at(now);
@@ -531,7 +542,7 @@
         if (change) {
             config_position_ = std::max(config_position_, change->position);
             apply_config(std::move(*change), sent_at, reads_whole ? "whole" : "watch");
-            config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
+            on_config_current_as_of(sent_at);
         }
     }
 
@@ -571,6 +582,7 @@
             apply_answer(std::move(*answer), cw_boot_clock::now());
             named_config_version_ = std::max(named_config_version_, version);
             catch_up_.on_heard(version);
+            report_known_config();
             if (named_config_version_ > config_.version() && !is_transferring_config_) {
                 is_transferring_config_ = true;
                 spawn(fetch_config(reader));
@@ -652,7 +664,7 @@
         note_config_call(change, true);
         if (change) {
             apply_config(std::move(*change), sent_at, "whole");
-            config_lag_.on_current_as_of(sent_at, cw_boot_clock::now());
+            on_config_current_as_of(sent_at);
         } else {
             log_.info("The configuration could not be read from the store either.",
                       {{"error", change.error().text()}});
@@ -660,12 +672,17 @@
         co_return config_.version() > before;
     }
 
+    /// Records that this host's configuration is the latest as of the moment.
+    void on_config_current_as_of(cw_boot_time moment) {
+        config_lag_.on_current_as_of(moment, cw_boot_clock::now());
+        report_known_config();
+    }
+
     /// Updates the configuration's lag and position from the answer of a reader, unless the reader
     /// has a later version than this host.
     void note_config_lag(const cw_feed_answer& answer) {
         if (answer.config_version <= config_.version()) {
-            config_lag_.on_current_as_of(answer.made_at() - answer.status.config_lag,
-                                         cw_boot_clock::now());
+            on_config_current_as_of(answer.made_at() - answer.status.config_lag);
         }
         if (answer.config_version == config_.version()) {
             config_position_ = std::max(config_position_, answer.config_position);
@@ -727,6 +744,7 @@
     const cw_gateway_options& options_;
     typename Port::store& store_;
     deliver_function deliver_;
+    known_config_function report_known_config_ = [](const cw_known_config&) {};
     cw_log log_{"feed"};
     cw_feed_log feed_log_;
     cw_feed_client client_;
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -55,6 +55,8 @@
             });
         traffic_.set_leaving_reporter([this](const cw_leaving_notice& notice) { deliver(notice); });
         sync_.start();
+        feed_.set_known_config_reporter(
+            [this](const cw_known_config& known) { traffic_.set_known_config(known); });
         feed_.start();
     }
 
@@ -69,7 +71,6 @@
             sync_.on_view(output.view);
         }
         feed_.on_readers(output.readers);
-        traffic_.set_known_config(feed_.known_config());
         sync_.set_store_suspected(feed_.is_store_suspected());
         sync_.on_stewards(output.stewards);
         sync_.on_crashes(output.crash_collecting_service, output.crashes);
@@ -123,6 +124,10 @@
         metrics.set_gauge("limited_upstreams", static_cast<double>(traffic_.limits().size()));
         metrics.set_gauge("config_version", static_cast<double>(state.config_version));
         metrics.set_gauge("config_age_seconds", age(state.config_received_at));
+        metrics.set_gauge("config_in_force_version",
+                          static_cast<double>(traffic_.config_in_force_version()));
+        metrics.set_gauge("config_in_force_lag_peak_seconds",
+                          seconds(traffic_.take_peak_config_in_force_lag()));
     }
 
 private:
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -198,7 +198,7 @@
             co_return co_await send_refusal(exchange);
         }
         if (traffic_.is_config_overdue(cw_boot_clock::now())) {
-            exchange.reason = "a later configuration has to be in force and is not received yet";
+            exchange.reason = "a later configuration has to be in force and is not yet";
             exchange.retry_after = unready_retry_after;
             co_return co_await send_refusal(exchange);
         }
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -65,16 +65,37 @@
     });
 }
 
+void cw_gateway_traffic::set_known_config(const cw_known_config& known) {
+    const std::scoped_lock lock{config_mutex_};
+    config_in_force_.on_known(known, cw_boot_clock::now());
+}
+
 bool cw_gateway_traffic::is_config_outdated(cw_boot_time now) const {
-    const auto current_as_of = config_current_as_of_.load();
-    return view_->config == nullptr || view_->config->version() < known_config_version_ ||
-           (current_as_of < now && now - current_as_of > shortest_config_bound);
+    const std::scoped_lock lock{config_mutex_};
+    return view_->config == nullptr || config_in_force_.is_outdated(shortest_config_bound, now);
 }
 
 bool cw_gateway_traffic::is_config_overdue(cw_boot_time now) const {
-    const auto current_as_of = config_current_as_of_.load();
-    return view_->config != nullptr && view_->config->version() < known_config_version_ &&
-           are_sources_answering_ && current_as_of < now && now - current_as_of > config_bound_;
+    const std::scoped_lock lock{config_mutex_};
+    return view_->config != nullptr && config_in_force_.is_overdue(config_bound_, now);
+}
+
+std::uint64_t cw_gateway_traffic::config_in_force_version() const {
+    const std::scoped_lock lock{config_mutex_};
+    return config_in_force_.version();
+}
+
+std::chrono::milliseconds cw_gateway_traffic::take_peak_config_in_force_lag() {
+    const std::scoped_lock lock{config_mutex_};
+    return config_in_force_.take_peak_lag(cw_boot_clock::now());
+}
+
+std::optional<std::chrono::milliseconds>
+cw_gateway_traffic::record_config_in_force(const cw_gateway_view& view) {
+    const auto now = cw_boot_clock::now();
+    const std::scoped_lock lock{config_mutex_};
+    config_in_force_.on_in_force(view.config == nullptr ? 0 : view.config->version(), now);
+    return config_in_force_.time_since_received(now);
 }
 
 void cw_gateway_traffic::record_view_wait(const cw_gateway_view& view, cw_time_point published_at) {
@@ -82,12 +103,14 @@
     if (wait > peak_view_wait_.load()) {
         peak_view_wait_ = wait;
     }
+    const auto since_received = record_config_in_force(view);
     if (view.config != nullptr && view.config != view_->config) {
-        log_.info("A configuration is in force for requests.",
-                  {{"version", std::to_string(view.config->version())},
-                   {"wait_ms",
-                    std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(wait).count())}});
+        log_.info(
+            "A configuration is in force for requests.",
+            {{"version", std::to_string(view.config->version())},
+             {"wait_ms",
+              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count())},
+             {"received_ms", since_received ? std::to_string(since_received->count()) : ""}});
     }
 }
 
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -2,6 +2,7 @@
 
 #include "cw_boot_clock.h"
 #include "cw_buffer_budget.h"
+#include "cw_config_in_force.h"
 #include "cw_connection_pool.h"
 #include "cw_crash_filter.h"
 #include "cw_gateway_metrics.h"
@@ -64,18 +65,19 @@
     /// Replaces the view and wakes all wait_for_view(). Safe to call from any thread.
     void publish(std::shared_ptr<const cw_gateway_view> view);
     /// Sets what this host knows of later configurations. Safe to call from any thread.
-    void set_known_config(const cw_known_config& known) {
-        known_config_version_ = known.version;
-        config_current_as_of_ = known.current_as_of;
-        are_sources_answering_ = known.are_sources_answering;
-    }
+    void set_known_config(const cw_known_config& known);
     /// True if the view's configuration may be outdated: a later one is known to exist, or may
     /// exist for longer than a change may take to be in force.
     [[nodiscard]] bool is_config_outdated(cw_boot_time now) const;
     /// True if a later configuration than the view's is known to exist, and may have been
-    /// acknowledged for longer than it may take to be in force, though this host's sources answer.
-    /// A host that is cut off goes on with what it has.
+    /// acknowledged for longer than it may take to be in force, though this host has received it or
+    /// its sources answer. A host that is cut off goes on with what it has.
     [[nodiscard]] bool is_config_overdue(cw_boot_time now) const;
+    /// Version of the configuration in force for requests; 0 for none. Safe to call from any
+    /// thread.
+    [[nodiscard]] std::uint64_t config_in_force_version() const;
+    /// Highest lag of that configuration since the last call. Safe to call from any thread.
+    [[nodiscard]] std::chrono::milliseconds take_peak_config_in_force_lag();
     /// The longest time from a publish() until its view was in use, since the last call. Safe to
     /// call from any thread.
     [[nodiscard]] std::chrono::milliseconds take_peak_view_wait() {
@@ -137,6 +139,9 @@
     /// Logs that a configuration is in force in traffic since now, and records how long the view
     /// has waited since `published_at`.
     void record_view_wait(const cw_gateway_view& view, cw_time_point published_at);
+    /// Records the version by which requests are handled from now on, and returns the time since it
+    /// was received; none if that is unknown.
+    std::optional<std::chrono::milliseconds> record_config_in_force(const cw_gateway_view& view);
 
     std::string domain_;
     double retry_share_;
@@ -153,9 +158,8 @@
     std::chrono::milliseconds config_bound_;
     std::shared_ptr<const cw_gateway_view> view_;
     std::list<cw_call_watch*> view_waiters_;
-    std::atomic<std::uint64_t> known_config_version_{0};
-    std::atomic<cw_boot_time> config_current_as_of_{cw_boot_time::max()};
-    std::atomic<bool> are_sources_answering_{false};
+    mutable std::mutex config_mutex_;
+    cw_config_in_force config_in_force_;
     std::atomic<std::chrono::nanoseconds> peak_view_wait_{std::chrono::nanoseconds{0}};
     std::unordered_map<std::string, cw_upstream_stats> stats_;
     std::map<std::string, cw_retry_budget> retry_budgets_;
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -27,7 +27,7 @@
     return made;
 }
 
-std::shared_ptr<const cw_site_config> make_config() {
+std::shared_ptr<const cw_site_config> make_config(std::uint64_t version) {
     cw_caller_limits limits;
     limits.max_header_bytes = 4'096;
     limits.max_body_bytes = 10'000;
@@ -38,7 +38,8 @@
     long_route.timeout = 4s;
     long_route.target = 200ms;
     auto config = cw_site_config::make(
-        1, limits, {route("safe", true), route("order", false), route("key", true), long_route},
+        version, limits,
+        {route("safe", true), route("order", false), route("key", true), long_route},
         {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
     if (!config) {
         throw std::logic_error(config.error().text());
@@ -84,7 +85,7 @@
 
 std::shared_ptr<cw_gateway_view> cw_gateway_fixture::make_view() const {
     auto view = std::make_shared<cw_gateway_view>();
-    view->config = make_config();
+    view->config = make_config(1);
     cw_upstream_lists lists;
     for (std::size_t index = 0; index < upstreams_.size(); ++index) {
         for (const char* service : {"safe", "order", "key"}) {
@@ -129,6 +130,13 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_fixture::set_config(std::uint64_t version) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->config = make_config(version);
+    view_ = view;
+    traffic_.publish(view);
+}
+
 void cw_gateway_fixture::block_traffic(std::chrono::milliseconds duration) {
     net::post(traffic_.context(), [duration] { std::this_thread::sleep_for(duration); });
 }
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -45,11 +45,20 @@
     void make_unreachable(std::size_t index);
     /// Publishes a view without a configuration, as before the first read from the store.
     void clear_config();
+    /// Publishes a view with the same configuration under another version.
+    void set_config(std::uint64_t version);
     /// Sets which configuration this host has heard of, for how long it has heard of no other, and
-    /// whether its sources answer.
+    /// whether its sources answer. What it has received is in force.
     void set_known_config(std::uint64_t version, std::chrono::milliseconds lag,
                           bool are_sources_answering = true) {
-        traffic_.set_known_config({version, cw_boot_clock::now() - lag, are_sources_answering});
+        traffic_.set_known_config(
+            {version, cw_boot_clock::now() - lag, are_sources_answering, view_->config->version()});
+    }
+    /// The same for a host that has received the version, whether it is in force or not.
+    void set_received_config(std::uint64_t version, std::chrono::milliseconds lag,
+                             bool are_sources_answering = true) {
+        traffic_.set_known_config(
+            {version, cw_boot_clock::now() - lag, are_sources_answering, version});
     }
     /// The event loop of the traffic thread.
     [[nodiscard]] boost::asio::io_context& traffic_context() { return traffic_.context(); }
