Count upstreams that leave neither as silent nor as answering

Cause: a steward takes itself for cut off while more than half of its upstreams are silent. Those that leave are not asked, so they were left out of the silent ones, and still counted among all: in a release with many of them a cut of the steward's own was not recognised. Change: only upstreams that stay count, on both sides. Evidence: steward_cut_off_during_a_release_moves_no_key_of_upstreams_that_answer_again; its wrong variant is upstreams-that-leave-counted-as-a-majority.

--- a/Source/cw_pending_commands.cpp
+++ b/Source/cw_pending_commands.cpp
@@ -83,14 +83,19 @@
 std::optional<cw_boot_time> cw_pending_commands::majority_silent_since(
     const std::map<std::string, cw_upstream_entry>& upstreams, Condition is_silent) const {
     std::vector<cw_boot_time> last_answers;
+    std::size_t staying = 0;
     for (const auto& [id, entry] : upstreams) {
-        const auto known = upstreams_.find(id);
         // One that leaves is no longer asked, so its last failure says nothing of this host.
-        if (known != upstreams_.end() && !entry.leaving && is_silent(known->second)) {
+        if (entry.leaving) {
+            continue;
+        }
+        ++staying;
+        const auto known = upstreams_.find(id);
+        if (known != upstreams_.end() && is_silent(known->second)) {
             last_answers.push_back(known->second.last_answer);
         }
     }
-    const auto half = upstreams.size() / 2;
+    const auto half = staying / 2;
     if (last_answers.size() <= half) {
         return std::nullopt;
     }
--- a/Tests/Gateway/cw_steward_cut_test.cpp
+++ b/Tests/Gateway/cw_steward_cut_test.cpp
@@ -372,6 +372,28 @@
     CHECK(service.time_until_moved(0) <= max_detection);
 }
 
+// Guards against upstreams that leave and that count as if they answered.
+TEST_CASE("steward_cut_off_during_a_release_moves_no_key_of_upstreams_that_answer_again") {
+    constexpr int leaving = 5;
+    for (const auto& form : cut_forms) {
+        cut_steward service{fleet};
+        for (int i = fleet - leaving; i < fleet; ++i) {
+            service.entries.at(cut_steward::name(i)).leaving = true;
+        }
+        service.publish();
+        service.run(2s);
+        const auto before = service.moves;
+        cut(service, own, fleet - leaving, form);
+        service.run(600ms);
+        for (int i = own; i < fleet - leaving; ++i) {
+            service.set_reach(i, i + 1, reach::answers);
+            service.run(20ms);
+        }
+        service.run(2s);
+        CHECK(service.moves == before);
+    }
+}
+
 TEST_CASE("upstream_that_fails_once_more_after_the_own_cut_is_not_judged_by_commands_sent_in_it") {
     cw_boot_time now{1'000s};
     cw_pending_commands commands{options};
