Take a feed that tells nothing for late, not for cut off

What callers may see: a host whose I/O thread stands still serves by an old configuration without limit, as all that the traffic thread knows of later ones comes from there. Cause: silence of the feed was the same as "nothing newer".

--- a/Source/cw_config_in_force.cpp
+++ b/Source/cw_config_in_force.cpp
@@ -9,6 +9,7 @@
 void cw_config_in_force::on_known(const cw_known_config& known, cw_boot_time now) {
     note_peak(now);
     known_ = known;
+    told_at_ = now;
     auto& received =
         received_.try_emplace(known.received_version, received_config{{}, now}).first->second;
     received.latest_as_of = known.current_as_of;
@@ -40,6 +41,10 @@
 }
 
 bool cw_config_in_force::is_overdue(milliseconds bound, cw_boot_time now) const {
+    // A feed that is cut off tells of that; one that tells nothing is late itself.
+    if (told_at_ && now - *told_at_ > bound) {
+        return true;
+    }
     const bool must_be_in_force = version_ < known_.received_version ||
                                   (version_ < known_.version && known_.are_sources_answering);
     return must_be_in_force && may_be_older_than(bound, now);
--- a/Source/cw_config_in_force.h
+++ b/Source/cw_config_in_force.h
@@ -18,7 +18,7 @@
 public:
     using milliseconds = std::chrono::milliseconds;
 
-    /// Records what the host knows at `now`.
+    /// Records what the host knows at `now`; to be called several times a second.
     void on_known(const cw_known_config& known, cw_boot_time now);
     /// Records that requests are handled by the version from `now` on; 0 for none.
     void on_in_force(std::uint64_t version, cw_boot_time now);
@@ -32,7 +32,8 @@
     [[nodiscard]] bool is_outdated(milliseconds bound, cw_boot_time now) const;
     /// True if a later version than the one in force is known to exist, and may have been
     /// acknowledged for longer than `bound`. A version that has not been received counts only while
-    /// the host's sources answer: a host that is cut off goes on with what it has.
+    /// the host's sources answer: a host that is cut off goes on with what it has. Also true if
+    /// nothing has been recorded for longer than `bound`: the thread that does it is late.
     [[nodiscard]] bool is_overdue(milliseconds bound, cw_boot_time now) const;
     /// The highest lag of the version in force since the last call, at most
     /// cw_replication_lag::unknown: no later version has been acknowledged for longer.
@@ -54,6 +55,8 @@
     void note_peak(cw_boot_time now);
 
     cw_known_config known_;
+    /// When that was recorded; none before the first record.
+    std::optional<cw_boot_time> told_at_;
     std::uint64_t version_ = 0;
     /// By version; none before the one in force, so it holds only what waits to be in force.
     std::map<std::uint64_t, received_config> received_;
--- a/Tests/Gateway/cw_config_in_force_test.cpp
+++ b/Tests/Gateway/cw_config_in_force_test.cpp
@@ -169,3 +169,16 @@
     CHECK(config.take_peak_lag(start + 2'500ms) == 2'500ms);
     CHECK(config.take_peak_lag(start + 2'500ms) == 500ms);
 }
+
+// Guards against a host whose feed stands still and that serves on as if it were cut off.
+TEST_CASE("config_in_force_is_overdue_while_the_feed_tells_nothing") {
+    cw_config_in_force config;
+    const cw_boot_time start{1h};
+    CHECK_FALSE(config.is_overdue(2s, start));
+    config.on_known({1, start, false, 1}, start);
+    config.on_in_force(1, start);
+    CHECK_FALSE(config.is_overdue(2s, start + 2s));
+    CHECK(config.is_overdue(2s, start + 2'001ms));
+    config.on_known({1, start, false, 1}, start + 3s);
+    CHECK_FALSE(config.is_overdue(2s, start + 3s));
+}
