--- a/Tests/Gateway/cw_gateway_sync_test.cpp
+++ b/Tests/Gateway/cw_gateway_sync_test.cpp
@@ -57,12 +57,15 @@
         context.run_for(1'200ms);
     }
 
-    /// Reports to a steward that sends the given bytes, for 3 s or until there is an event.
-    void report_to(const cw_raw_upstream& raw_steward) {
+    /// Reports to a steward that sends the given bytes, for 3 s or until there is an event. Returns
+    /// the time taken.
+    std::chrono::nanoseconds report_to(const cw_raw_upstream& raw_steward) {
+        const auto begin = std::chrono::steady_clock::now();
         steward.address = raw_steward.address();
         sync.start();
         sync.on_stewards({{service, steward}});
         run_until_event();
+        return std::chrono::steady_clock::now() - begin;
     }
 
     void run_until_event() {
@@ -242,7 +245,7 @@
     const cw_raw_upstream raw{[&](const std::string&) {
         return cw_raw_upstream::reply{response_head(text.size()) + text.substr(0, text.size() / 2)};
     }};
-    report_to(raw);
+    CHECK(report_to(raw) < cw_table_transfer::first_limit);
     CHECK(count<cw_steward_answer>() == 0);
     CHECK(count<cw_ownership_event>() >= 1);
 }
@@ -253,7 +256,7 @@
         none.delay = 1'000ms;
         return none;
     }};
-    report_to(raw);
+    CHECK(report_to(raw) < cw_table_transfer::first_limit);
     CHECK(count<cw_ownership_event>() >= 1);
 }
 
