Let the time that an upstream asks for outlast the twelve requests of its case

Trace, from its log: 503 with Retry-After 0.4 at 22.000 s, the next attempt at the other upstream took 434 ms (its thread was late; eight tests ran in parallel), and the second request came at 22.446 s, after the time that was asked for, which is allowed. The case now asks for 5 s, which the twelve requests do not outlast; the check is as before.

--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -322,7 +322,7 @@
 
 TEST_CASE("upstream_that_sends_a_retry_after_time_gets_no_requests_until_then") {
     cw_gateway_fixture gateway{
-        {respond_with("503 Full", not_run + "Retry-After: 0.4\r\n", "wait"), respond_ok()}};
+        {respond_with("503 Full", not_run + "Retry-After: 5\r\n", "wait"), respond_ok()}};
     for (int i = 0; i < 12; ++i) {
         CHECK(cw_status_of(gateway.send("GET", "/safe/a", attempt_headers)) == 200);
     }
