--- a/Source/cw_answer_metadata.h
+++ b/Source/cw_answer_metadata.h
@@ -9,6 +9,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
+    /// Time that work takes on the upstream's machine at this moment, relative to the usual time.
+    double slowdown = 1.0;
 };
 
 /// Metadata of an upstream's answer in addition to its content, independent of the platform's
--- a/Source/cw_gateway_options.h
+++ b/Source/cw_gateway_options.h
@@ -30,6 +30,13 @@
     std::chrono::milliseconds entry_return_time{2'500};
     /// Time after which a configuration that the store has acknowledged has to be in force.
     std::chrono::milliseconds config_bound{2'000};
+    /// Time after which nothing may be sent to an evacuated failure domain any more; 0 if the
+    /// deployment knows no evacuations.
+    std::chrono::milliseconds evacuation_bound{0};
+    /// Most requests that a cold upstream may get in one second from all hosts together, as a
+    /// multiple of the rate that its service names plus a number of requests.
+    double cold_overage = 1.5;
+    double cold_slack = 8.0;
     /// Delay between two reads of the upstream entries.
     std::chrono::milliseconds upstream_poll_interval{500};
     /// Limits on the retries of all hosts together: a share of the requests, plus a fixed number of
--- a/Source/cw_gateway_settings.cpp
+++ b/Source/cw_gateway_settings.cpp
@@ -137,6 +137,9 @@
     options.metrics_port = settings.optional_port("metrics_port");
     options.stop_grace = settings.seconds("stop_grace_s", options.stop_grace);
     options.config_bound = settings.seconds("config_bound_s", options.config_bound);
+    options.evacuation_bound = settings.seconds("evacuation_bound_s", options.evacuation_bound);
+    options.cold_overage = settings.number("cold_overage", 0.0, 1e3, options.cold_overage);
+    options.cold_slack = settings.number("cold_slack", 0.0, 1e6, options.cold_slack);
     options.retry_share = settings.number("retry_share", 0.0, 1.0, options.retry_share);
     options.retry_slack = settings.number("retry_slack", 0.0, 1e6, options.retry_slack);
     options.processor_share = settings.number("processor_share", 0.0, 1e4, options.processor_share);
--- a/Source/cw_site_service.h
+++ b/Source/cw_site_service.h
@@ -14,4 +14,8 @@
     /// Time for which a key is slow after it has moved without the hand-over token of its last
     /// holder.
     std::chrono::milliseconds warm_up{0};
+    /// Requests a second that a cold upstream tolerates from all hosts together; 0 for no limit.
+    double cold_rate = 0.0;
+    /// How long an upstream is cold after its start; 0 if the configuration names no time.
+    std::chrono::milliseconds cold_start{0};
 };
