Read the fourth value of the load header and expect the slowdown that it states

Cause: on deployment A every host worked without the load of upstreams, because their header has a fourth value and the parser accepted three. A header with slots of 0 was taken as a load.

The smoothed service time is kept at the usual speed, and the expected time is multiplied by the last slowdown, which decays to 1 with a half-life of 0.2 s. The expected time is bounded to an hour: with 4,294,967,295 running requests its conversion exceeded the range of the type. The service time that goes to the steward stays at the speed at which the request ran, because capacities have to follow the mean speed.

Result: the cases upstream_stats_*, upstream_selection_prefers_* and answer_metadata_* pass in a debug build; eight wrong variants are caught. No measurement of a deployment was run.

--- a/Source/cw_answer_metadata.h
+++ b/Source/cw_answer_metadata.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 /// Load that an upstream reports in an answer: running and waiting requests, and its slots.
 struct cw_reported_load {
@@ -32,8 +33,10 @@
     kind outcome = kind::answered;
     /// True when the answer names the request that it belongs to.
     bool names_request = false;
-    /// Load that the upstream reported; none when it did not or it cannot be parsed.
+    /// Load that the upstream reported; none when it did not or it is invalid.
     std::optional<cw_reported_load> load;
+    /// The header field of a load that is invalid, for the log; empty when there is none.
+    std::string invalid_load;
     /// Time after which the upstream closes an idle connection.
     std::optional<std::chrono::seconds> idle_timeout;
     /// Time for which the upstream requests not to be sent requests (Retry-After).
--- a/Source/cw_upstream_stats.cpp
+++ b/Source/cw_upstream_stats.cpp
@@ -13,6 +13,11 @@
 constexpr double service_weight = 0.15;
 /// Half-life of the last known load by other hosts.
 constexpr double load_half_life_seconds = 0.6;
+/// Half-life of the last known slowdown. Upstreams change their speed about every 0.4 s.
+constexpr double slowdown_half_life_seconds = 0.2;
+/// Longest time that is expected. An upstream may report any number of waiting requests, and the
+/// product must not exceed the range of the type.
+constexpr double max_expected_seconds = 3'600.0;
 /// Time for which an upstream is skipped after it refused a request as busy.
 constexpr auto busy_avoidance = 60ms;
 /// Consecutive failures from which an upstream is skipped, and for how long at first. The time
@@ -29,6 +34,7 @@
     if (load) {
         const auto total = static_cast<double>(load->running) + load->waiting;
         other_hosts_load_ = std::max(0.0, total - in_flight_);
+        reported_slowdown_ = load->slowdown;
         load_reported_at_ = now;
     }
 }
@@ -48,9 +54,10 @@
             ? std::max(1.0, (static_cast<double>(load->running) + load->waiting) / load->slots)
             : 1.0;
     const double seconds = std::chrono::duration<double>(latency).count() / queued;
+    const double usual_seconds = seconds / slowdown(now);
     service_seconds_ = service_seconds_ == 0.0
-                           ? seconds
-                           : service_seconds_ + service_weight * (seconds - service_seconds_);
+                           ? usual_seconds
+                           : service_seconds_ + service_weight * (usual_seconds - service_seconds_);
     return seconds;
 }
 
@@ -90,9 +97,17 @@
     avoided_until_ = std::max(avoided_until_, shedding_until_);
 }
 
+double cw_upstream_stats::report_age(cw_boot_time now) const {
+    return std::max(0.0, std::chrono::duration<double>(now - load_reported_at_).count());
+}
+
 double cw_upstream_stats::load(cw_boot_time now) const {
-    const auto age = std::chrono::duration<double>(now - load_reported_at_).count();
-    return in_flight_ + other_hosts_load_ * std::exp2(-std::max(0.0, age) / load_half_life_seconds);
+    return in_flight_ + other_hosts_load_ * std::exp2(-report_age(now) / load_half_life_seconds);
+}
+
+double cw_upstream_stats::slowdown(cw_boot_time now) const {
+    return 1.0 +
+           (reported_slowdown_ - 1.0) * std::exp2(-report_age(now) / slowdown_half_life_seconds);
 }
 
 std::chrono::nanoseconds cw_upstream_stats::service_time() const {
@@ -105,5 +120,7 @@
                                                           cw_boot_time now) const {
     const double excess = std::max(0.0, load(now) + 1.0 - slots);
     const double rounds = 1.0 + excess / std::max(1.0, static_cast<double>(slots));
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(service_time() * rounds);
+    const std::chrono::duration<double> expected = service_time() * rounds * slowdown(now);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::min(expected, std::chrono::duration<double>{max_expected_seconds}));
 }
--- a/Source/cw_upstream_stats.h
+++ b/Source/cw_upstream_stats.h
@@ -7,12 +7,15 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 /// Load and service time of one upstream, estimated by one host from the upstream's answers.
 ///
 /// Many hosts share an upstream's few slots. Each answer reports how many requests run and wait
 /// there; the part of other hosts is the reported load without this host's requests in flight, and
-/// decays until the next report.
+/// decays until the next report. An answer may also report that work currently takes longer there
+/// than usual. The service time is kept at the usual speed, and the reported slowdown, which soon
+/// is out of date, decays to 1.
 class cw_upstream_stats {
 public:
     /// A request was sent. Each call is followed by one call of the functions below that end it:
@@ -20,7 +23,8 @@
     /// on_ignored_result().
     void on_sent() { ++in_flight_; }
     /// The upstream ran a request. `latency` is the time from sending to the complete answer.
-    /// Returns the estimated service time in seconds: the latency without the wait for a slot.
+    /// Returns the estimated service time in seconds at the speed at which the request ran: the
+    /// latency without the wait for a slot.
     double on_answer(std::chrono::nanoseconds latency, std::optional<cw_reported_load> load,
                      cw_boot_time now);
     /// The upstream refused a request because it is busy.
@@ -39,14 +43,18 @@
     /// A request ended in a way that gives no information about the load: the caller left, or the
     /// upstream does not own the key.
     void on_ignored_result() { --in_flight_; }
+    /// An answer reported an invalid load. Returns true for the first one, which is to be logged.
+    [[nodiscard]] bool on_invalid_load() { return !std::exchange(has_invalid_load_, true); }
 
     /// Estimated number of requests at the upstream, running and waiting.
     [[nodiscard]] double load(cw_boot_time now) const;
-    /// Expected time to the answer of the next request, its wait for a slot included. `slots` is
-    /// the number of requests that the upstream runs at the same time.
+    /// Expected time to the answer of the next request, its wait for a slot included, at the speed
+    /// that the upstream is assumed to have now; one hour at most. `slots` is the number of
+    /// requests that the upstream runs at the same time.
     [[nodiscard]] std::chrono::nanoseconds expected_time(std::uint32_t slots,
                                                          cw_boot_time now) const;
-    /// Smoothed time that a request takes once it runs; an assumed value before the first answer.
+    /// Smoothed time that a request takes once it runs, at the usual speed; an assumed value before
+    /// the first answer.
     [[nodiscard]] std::chrono::nanoseconds service_time() const;
     /// True while the upstream should be skipped if there are others, after failures or a refusal.
     [[nodiscard]] bool is_avoided(cw_boot_time now) const { return now < avoided_until_; }
@@ -61,12 +69,19 @@
 
 private:
     void record_load(std::optional<cw_reported_load> load, cw_boot_time now);
+    /// Seconds since the last report of the load.
+    [[nodiscard]] double report_age(cw_boot_time now) const;
+    /// Time that work takes now, relative to the usual.
+    [[nodiscard]] double slowdown(cw_boot_time now) const;
 
     std::uint32_t in_flight_ = 0;
     /// Requests of other hosts at the time of the last report.
     double other_hosts_load_ = 0.0;
+    /// Time that work took at the time of the last report, relative to the usual.
+    double reported_slowdown_ = 1.0;
     cw_boot_time load_reported_at_{};
-    /// Smoothed service time in seconds; 0 before the first answer.
+    bool has_invalid_load_ = false;
+    /// Smoothed service time in seconds at the usual speed; 0 before the first answer.
     double service_seconds_ = 0.0;
     std::uint32_t consecutive_failures_ = 0;
     std::uint32_t consecutive_sheds_ = 0;
