--- a/Tests/Gateway/cw_platform_test.cpp
+++ b/Tests/Gateway/cw_platform_test.cpp
@@ -226,6 +226,25 @@
     CHECK(load_of("4294967295,0,100000")->running == 4'294'967'295U);
 }
 
+// Guards against a download that fails with its first upstream, and against a second run of a
+// request of a kind that is not known to be idempotent.
+TEST_CASE("configuration_decoded_takes_only_safe_and_download_routes_for_idempotent") {
+    const std::pair<const char*, bool> kinds[] = {
+        {"safe", true},       {"download", true},   {"non_idempotent", false},
+        {"upload", false},    {"Safe", false},      {"DOWNLOAD", false},
+        {"download ", false}, {"downloads", false}, {"", false}};
+    for (const auto& [kind, is_idempotent] : kinds) {
+        auto spec = config_spec();
+        spec["listeners"][0]["rules"][0]["kind"] = kind;
+        const auto config = cw_decode_config(spec);
+        REQUIRE(config);
+        CHECK_MESSAGE(config->find("shop.example", "/v/x")->repeatable == is_idempotent, kind);
+    }
+    auto without_kind = config_spec();
+    without_kind["listeners"][0]["rules"][0].erase("kind");
+    CHECK_FALSE(cw_decode_config(without_kind)->find("shop.example", "/v/x")->repeatable);
+}
+
 TEST_CASE("retry_after_states_fractions_of_seconds") {
     cw_http_response answer;
     cw_platform_dialect::set_retry_after(answer, 250ms);
