Do not pass on responses whose status is not from 200 to 599, and log invalid loads once

Cause: an upstream in trouble responds with the status 000, and the caller got it. An interim response ended an attempt, or was passed on as the final one where it named its request. A response of status 000 without a length was awaited until the deadline. An invalid load header left no trace.

Change: a status outside 200 to 599 makes the attempt malformed as soon as the header is read, and the connection is closed; so does one that is not three digits, which the parser reports. 100 to 199 but for 101 are skipped, at most two each time a request is sent. The log names the status, and an invalid load header once for each upstream incarnation. An upstream that closes after an interim response does not count as one that sheds load.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -6,14 +6,17 @@
 #include "cw_gateway_exchange.h"
 #include "cw_gateway_traffic.h"
 #include "cw_read_room.h"
+#include "cw_response_status.h"
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cctype>
 #include <memory>
 #include <string>
+#include <string_view>
 
 /// Executes one attempt to forward a request: sends the request to the selected upstream and
 /// receives the answer.
@@ -58,6 +61,11 @@
     static constexpr milliseconds min_sent_timeout{1};
     /// Number of answers to other requests that are skipped on one connection.
     static constexpr int max_mismatched_answers = 2;
+    /// Number of interim responses that are skipped each time a request is sent.
+    static constexpr int max_interim_responses = 2;
+    /// Longest part of an invalid load or status that is written to the log, in characters.
+    static constexpr std::size_t max_logged_load = 120;
+    static constexpr std::size_t max_logged_status = 16;
     /// Largest body and header of an answer, in bytes.
     static constexpr std::uint64_t max_body_bytes = 8ULL * 1024 * 1024;
     static constexpr std::uint32_t max_header_bytes = 32'768;
@@ -206,8 +214,9 @@
         boost::beast::flat_buffer buffer{cw_max_read_buffer};
         exchange.answer_buffer = std::make_unique<cw_buffer_budget::buffer>(
             traffic_.answer_budget(), exchange.upstream.id);
-        for (int mismatched_count = 0; mismatched_count <= max_mismatched_answers;
-             ++mismatched_count) {
+        int mismatched_count = 0;
+        int interim_count = 0;
+        while (mismatched_count <= max_mismatched_answers) {
             exchange.answer_buffer->on_eviction([&socket = *connection] {
                 boost::system::error_code ignored;
                 socket.close(ignored);
@@ -218,14 +227,28 @@
             parser.skip(exchange.request.method() == http::verb::head);
             const auto failure =
                 co_await read_answer(*connection, buffer, parser, *exchange.answer_buffer);
+            if (has_invalid_status(failure, parser)) {
+                exchange.reason = "receive: the upstream sent the invalid status " +
+                                  invalid_status_text(failure, parser, buffer);
+                co_return cw_attempt_result::malformed;
+            }
             if (failure) {
                 is_oversized_ = is_limit_error(failure) || exchange.answer_buffer->is_evicted();
                 exchange.reason =
                     "receive: " +
                     (exchange.answer_buffer->is_evicted() ? eviction_text() : failure.message());
-                closed_before_answer_ = buffer.size() == 0 && !parser.got_some();
+                closed_before_answer_ =
+                    interim_count == 0 && buffer.size() == 0 && !parser.got_some();
                 co_return result_of_failure(cw_attempt_result::connection_lost);
             }
+            if (class_of_status(parser) == cw_status_class::interim) {
+                if (++interim_count <= max_interim_responses) {
+                    continue;
+                }
+                exchange.reason = "receive: the upstream sent too many interim responses, status " +
+                                  std::to_string(parser.get().result_int());
+                co_return cw_attempt_result::malformed;
+            }
             const bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
             auto answer = parser.release();
             exchange.answer_buffer->on_eviction(nullptr);
@@ -239,9 +262,11 @@
                 if (!reusable) {
                     break;
                 }
+                ++mismatched_count;
                 continue;
             }
             reported_load_ = metadata.load;
+            log_invalid_load(exchange, metadata);
             if (metadata.retry_after) {
                 upstream_stats(exchange).set_retry_after(cw_boot_clock::now() +
                                                          *metadata.retry_after);
@@ -265,6 +290,49 @@
         co_return cw_attempt_result::malformed;
     }
 
+    static cw_status_class class_of_status(const answer_parser& parser) {
+        return cw_class_of_status(parser.get().result_int());
+    }
+
+    /// True if the status is known and makes the answer count as none. The parser accepts three
+    /// digits only.
+    static bool has_invalid_status(const boost::system::error_code& failure,
+                                   const answer_parser& parser) {
+        return failure == boost::beast::http::error::bad_status ||
+               (parser.is_header_done() && class_of_status(parser) == cw_status_class::invalid);
+    }
+
+    /// An invalid status as the upstream sent it, for the log. The start of an answer that the
+    /// parser did not accept is still in the buffer.
+    static std::string invalid_status_text(const boost::system::error_code& failure,
+                                           const answer_parser& parser,
+                                           const boost::beast::flat_buffer& buffer) {
+        if (failure != boost::beast::http::error::bad_status) {
+            const auto digits = "00" + std::to_string(parser.get().result_int());
+            return digits.substr(digits.size() - 3);
+        }
+        const auto bytes = buffer.cdata();
+        const std::string_view line{static_cast<const char*>(bytes.data()), bytes.size()};
+        const auto begin = std::min(line.find(' '), line.size());
+        auto status = line.substr(std::min(begin + 1, line.size()), max_logged_status);
+        status = status.substr(0, status.find_first_of(" \r\n"));
+        const bool is_printable =
+            std::all_of(status.begin(), status.end(),
+                        [](unsigned char letter) { return std::isprint(letter) != 0; });
+        return is_printable ? std::string{status} : "of unprintable bytes";
+    }
+
+    /// Logs an invalid load once for each incarnation of an upstream, which may report one in each
+    /// of its answers.
+    void log_invalid_load(const cw_gateway_exchange& exchange, const cw_answer_metadata& metadata) {
+        if (!metadata.invalid_load.empty() && upstream_stats(exchange).on_invalid_load()) {
+            traffic_.log().warning("The load that an upstream reports is invalid and is ignored.",
+                                   {{"upstream", exchange.upstream.id},
+                                    {"service", exchange.upstream.service},
+                                    {"header", metadata.invalid_load.substr(0, max_logged_load)}});
+        }
+    }
+
     /// True for the errors of an answer that exceeds a limit of its own.
     static bool is_limit_error(const boost::system::error_code& failure) {
         using boost::beast::http::error;
@@ -278,14 +346,15 @@
     }
 
     /// Reads an answer of at most `max_transfer_bytes`, including framing. The parser limits the
-    /// body only, and an upstream could send chunk framing without end.
+    /// body only, and an upstream could send chunk framing without end. An answer with an invalid
+    /// status is read up to the end of its header only, since its body may never end.
     static boost::asio::awaitable<boost::system::error_code>
     read_answer(stream& connection, boost::beast::flat_buffer& buffer, answer_parser& parser,
                 cw_buffer_budget::buffer& memory) {
         namespace http = boost::beast::http;
         boost::system::error_code failure;
         std::uint64_t received = 0;
-        while (!failure && !parser.is_done()) {
+        while (!failure && !parser.is_done() && !has_invalid_status(failure, parser)) {
             received += co_await http::async_read_some(connection, buffer, parser,
                                                        cw_redirect_error(failure));
             cw_make_read_room(buffer, parser, cw_traffic_read_room);
