--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -37,6 +37,9 @@
           store_{store_http_, options.store_address,
                  [this](const cw_error& error, std::uint64_t revision) {
                      log_rejected_object(error, revision);
+                 },
+                 [this](const cw_error& error, std::uint64_t version) {
+                     log_ignored_value(error, version);
                  }},
           port_sender_{command_http_},
           command_sender_{port_sender_},
@@ -164,15 +167,29 @@
 
     /// Logs an object of the store that cannot be used, once per revision of the object.
     void log_rejected_object(const cw_error& error, std::uint64_t revision) {
-        if (logged_rejections_.insert(error.peer + "@" + std::to_string(revision)).second) {
+        if (is_first_report(error.peer + "@" + std::to_string(revision))) {
             log_.warning("An object of the store is invalid and is ignored.",
                          {{"name", error.peer},
                           {"revision", std::to_string(revision)},
                           {"reason", error.reason}});
         }
+    }
+
+    /// Logs a value that is ignored in a configuration, once per version of the configuration.
+    void log_ignored_value(const cw_error& error, std::uint64_t version) {
+        if (is_first_report(error.step + " " + error.peer + "@" + std::to_string(version))) {
+            log_.warning("A value in the configuration is invalid and is ignored.",
+                         {{"service", error.peer},
+                          {"config", std::to_string(version)},
+                          {"reason", error.reason}});
+        }
+    }
+
+    bool is_first_report(const std::string& subject) {
         if (logged_rejections_.size() > max_logged_rejections) {
             logged_rejections_.clear();
         }
+        return logged_rejections_.insert(subject).second;
     }
 
     void execute(const cw_ownership_command& command) { spawn(send_command(command)); }
@@ -266,7 +283,7 @@
     std::shared_ptr<const cw_gateway_view> view_;
     /// Longest time between a decision and its execution since the metrics were last set.
     milliseconds peak_command_wait_{0};
-    /// "name@revision" of rejected objects that have been logged.
+    /// "name@revision" of rejected objects and ignored values that have been logged.
     std::set<std::string> logged_rejections_;
     cw_gateway_feed<Port> feed_;
     cw_gateway_sync sync_;
--- a/Source/cw_upstream_delta.cpp
+++ b/Source/cw_upstream_delta.cpp
@@ -31,7 +31,8 @@
     entry.domain = value.at(3).get<std::string>();
     entry.slots = value.at(4).get<std::uint32_t>();
     entry.leaving = value.at(5).get<bool>();
-    entry.warm_at = now + milliseconds{value.at(6).get<std::int64_t>()};
+    const milliseconds warm_in{value.at(6).get<std::int64_t>()};
+    entry.warm_at = warm_in.count() > 0 ? now + warm_in : cw_boot_time{};
     entry.incarnation = value.at(7).get<std::uint64_t>();
     // Hosts that run an earlier release do not send the sequence.
     entry.sequence = value.size() > 8 ? value.at(8).get<std::uint64_t>() : 0;
--- a/Source/cw_upstream_directory.cpp
+++ b/Source/cw_upstream_directory.cpp
@@ -35,7 +35,12 @@
     const auto announced = leaving_incarnations_.find(entry.id);
     stored_entry.leaving = stored_entry.leaving || (announced != leaving_incarnations_.end() &&
                                                     announced->second >= entry.incarnation);
-    return stored_entry.differs_from(before);
+    const bool is_changed = stored_entry.differs_from(before);
+    if (!is_changed) {
+        // As in cw_upstream_replica: later entries are compared with what was passed on.
+        stored_entry.warm_at = before.warm_at;
+    }
+    return is_changed;
 }
 
 bool cw_upstream_directory::on_leaving(const std::string& id, std::uint64_t incarnation) {
--- a/Source/cw_upstream_directory.h
+++ b/Source/cw_upstream_directory.h
@@ -23,7 +23,7 @@
     /// Applies the complete list of entries from one read; entries that are not in it are removed.
     /// True when anything changed.
     bool on_list(const std::vector<cw_upstream_entry>& entries, cw_boot_time now);
-    /// Applies a written entry. True when anything but its warm-up time changed.
+    /// Applies a written entry. True when it differs from the known one, as differs_from() states.
     bool on_entry(const cw_upstream_entry& entry);
     /// Removes an entry that was deleted or can no longer be parsed. False if the removal is
     /// deferred or the entry is unknown.
--- a/Source/cw_upstream_entry.h
+++ b/Source/cw_upstream_entry.h
@@ -2,6 +2,7 @@
 
 #include "cw_boot_clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -18,7 +19,7 @@
     std::uint32_t slots = 1;
     /// True when it has announced its shutdown.
     bool leaving = false;
-    /// Time at which its warm-up after the start ends.
+    /// Time at which its warm-up ends; the clock's epoch if it is not warming up.
     cw_boot_time warm_at{};
     /// Start time of the process in microseconds, or any other number that increases with each
     /// start.
@@ -26,13 +27,26 @@
     /// Rises with each write of the entry by the same incarnation; 0 if the entry names none.
     std::uint64_t sequence = 0;
 
-    /// True if the other entry of the same id differs in more than its remaining warm-up and its
-    /// sequence, which change with each heartbeat.
-    [[nodiscard]] bool differs_from(const cw_upstream_entry& other) const {
-        auto same = other;
+    /// Largest delay of the end of the warm-up that is attributed to the time for which entries are
+    /// on their way.
+    static constexpr std::chrono::milliseconds warm_up_tolerance{500};
+
+    /// True if it differs from an earlier entry of the same id in more than its remaining warm-up
+    /// and its sequence, which change with each heartbeat, or if its warm-up ends later.
+    [[nodiscard]] bool differs_from(const cw_upstream_entry& earlier) const {
+        auto same = earlier;
         same.warm_at = warm_at;
         same.sequence = sequence;
-        return *this != same;
+        return *this != same || warms_later_than(earlier);
+    }
+
+    /// True if the end of the warm-up is later than that of an earlier entry by more than the
+    /// tolerance: the upstream is cold again. An entry that is read a second time states the
+    /// remaining time as of its write and so does not count.
+    [[nodiscard]] bool warms_later_than(const cw_upstream_entry& earlier) const {
+        const bool is_same_write = incarnation != 0 && incarnation == earlier.incarnation &&
+                                   sequence != 0 && sequence == earlier.sequence;
+        return !is_same_write && warm_at > earlier.warm_at + warm_up_tolerance;
     }
 
     friend bool operator==(const cw_upstream_entry&, const cw_upstream_entry&) = default;
--- a/Source/cw_upstream_replica.cpp
+++ b/Source/cw_upstream_replica.cpp
@@ -34,7 +34,14 @@
             continue;
         }
         const bool is_relevant = is_relevant_change(entry);
-        entries_[entry.id] = entry;
+        auto& known = entries_[entry.id];
+        const auto passed_on_warm_at = known.warm_at;
+        known = entry;
+        if (!is_relevant) {
+            // Later entries are compared with what was passed on. Otherwise a warm-up that each
+            // heartbeat extends a little would never count as a change.
+            known.warm_at = passed_on_warm_at;
+        }
         if (is_relevant) {
             delta.written.push_back(std::move(entry));
         }
