Send a cold upstream no more than its limit allows

Cause: a gateway sent to cold upstreams as to warm ones, at twice the expected time.

Change: the traffic part keeps the limits of cold upstreams and takes them from each view. Services without keys skip cold upstreams that do not admit the request and refuse it at once when none is left. Requests for keys of a cold owner wait as for a key that is being moved. A request costs a token when it is sent. While the number of hosts is unknown, nothing is sent to cold upstreams.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -159,6 +159,9 @@
         if (failure) {
             watch_.unwatch_socket();
             exchange.reason = "connect: " + failure.message();
+            if (failure == boost::asio::error::connection_refused) {
+                traffic_.on_connect_refused(exchange.upstream);
+            }
             co_return nullptr;
         }
         connection->set_option(boost::asio::ip::tcp::no_delay{true}, failure);
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -49,6 +49,7 @@
       answer_budget_{options.answer_buffer_limit()},
       request_budget_{options.request_buffer_limit()},
       pool_{context_},
+      cold_limits_{options.cold_overage, options.cold_slack},
       config_bound_{options.config_bound},
       view_{std::make_shared<const cw_gateway_view>()},
       engine_{std::random_device{}()} {}
@@ -128,6 +129,11 @@
         host_count_ = view.hosts;
         retry_budgets_.clear();
     }
+    if (view.upstreams != view_->upstreams || view.config != view_->config) {
+        cold_limits_.on_view(
+            view, [this] { return random_share(); }, cw_boot_clock::now());
+        report_cold_upstreams();
+    }
     if (view.upstreams == view_->upstreams) {
         return;
     }
@@ -169,6 +175,53 @@
                {"limit", limit ? std::to_string(*limit) : ""}});
 }
 
+bool cw_gateway_traffic::admits_if_cold(const cw_upstream_entry& upstream) {
+    return cold_limits_.is_empty() ||
+           cold_limits_.admits(upstream, limits_.hosts(), cw_boot_clock::now());
+}
+
+void cw_gateway_traffic::on_sent_if_cold(const cw_upstream_entry& upstream) {
+    if (cold_limits_.on_sent(upstream, cw_boot_clock::now())) {
+        metrics_.increment("cold_admitted_requests");
+    }
+}
+
+std::chrono::milliseconds
+cw_gateway_traffic::cold_admission_delay(const cw_upstream_entry& upstream) {
+    return cold_limits_.is_empty()
+               ? std::chrono::milliseconds{0}
+               : cold_limits_.admission_delay(upstream, limits_.hosts(), cw_boot_clock::now());
+}
+
+void cw_gateway_traffic::on_connect_refused(const cw_upstream_entry& upstream) {
+    cold_limits_.on_connect_refused(upstream, random_share(), cw_boot_clock::now());
+    report_cold_upstreams();
+}
+
+void cw_gateway_traffic::report_cold_upstreams() {
+    for (const auto& change : cold_limits_.take_changes()) {
+        log_.info(change.is_cold ? "An upstream is treated as cold."
+                                 : "An upstream is no longer treated as cold.",
+                  {{"upstream", change.id},
+                   {"service", change.service},
+                   {"rate", std::to_string(change.rate)},
+                   {"hosts", std::to_string(limits_.hosts())}});
+    }
+    metrics_.set_gauge("cold_upstreams", static_cast<double>(cold_limits_.size()));
+    if (cold_limits_.is_empty()) {
+        cold_timer_.cancel();
+        return;
+    }
+    cold_timer_.expires_after(
+        std::max(std::chrono::nanoseconds{0}, cold_limits_.next_end() - cw_boot_clock::now()));
+    cold_timer_.async_wait([this](const boost::system::error_code& failure) {
+        if (!failure) {
+            cold_limits_.drop_warm(cw_boot_clock::now());
+            report_cold_upstreams();
+        }
+    });
+}
+
 cw_retry_budget& cw_gateway_traffic::retry_budget(const std::string& service) {
     const double reserve = host_count_ == 0 ? 0.0 : retry_slack_ * used_budget_share / host_count_;
     return retry_budgets_
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -2,6 +2,7 @@
 
 #include "cw_boot_clock.h"
 #include "cw_buffer_budget.h"
+#include "cw_cold_start_limits.h"
 #include "cw_config_in_force.h"
 #include "cw_connection_pool.h"
 #include "cw_crash_filter.h"
@@ -21,6 +22,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -100,6 +102,18 @@
     /// Records what an answer of the upstream says about its limit, and logs a change.
     void record_limit(const cw_upstream_entry& upstream, std::optional<double> limit);
 
+    /// True if any upstream is treated as cold.
+    [[nodiscard]] bool has_cold_upstreams() const { return !cold_limits_.is_empty(); }
+    /// True if a request may be sent to the upstream now as far as its limit while it is cold
+    /// allows.
+    [[nodiscard]] bool admits_if_cold(const cw_upstream_entry& upstream);
+    /// Counts a request that is sent to an upstream against its limit while it is cold.
+    void on_sent_if_cold(const cw_upstream_entry& upstream);
+    /// Time until a request to the upstream will be admitted if it is cold; 0 if one is admitted.
+    [[nodiscard]] std::chrono::milliseconds cold_admission_delay(const cw_upstream_entry& upstream);
+    /// A connect to the upstream was refused, so it may be starting again.
+    void on_connect_refused(const cw_upstream_entry& upstream);
+
     /// Sets the retry budget of all hosts together: `share` is the number of retries per request,
     /// `slack` the number of tokens that may be saved up. Safe to call from any thread.
     void set_retry_budget(double share, double slack);
@@ -136,6 +150,9 @@
 
 private:
     void apply_view(const cw_gateway_view& view);
+    /// Logs which upstreams are treated as cold from now on, or no longer, and sets the timer for
+    /// the next end of a warm-up.
+    void report_cold_upstreams();
     /// Logs that a configuration is in force in traffic since now, and records how long the view
     /// has waited since `published_at`.
     void record_view_wait(const cw_gateway_view& view, cw_time_point published_at);
@@ -155,6 +172,8 @@
     boost::asio::io_context context_{1};
     cw_connection_pool pool_;
     cw_limit_table limits_;
+    cw_cold_start_limits cold_limits_;
+    boost::asio::steady_timer cold_timer_{context_};
     std::chrono::milliseconds config_bound_;
     std::shared_ptr<const cw_gateway_view> view_;
     std::list<cw_call_watch*> view_waiters_;
--- a/Source/cw_gateway_upstream_selector.cpp
+++ b/Source/cw_gateway_upstream_selector.cpp
@@ -15,6 +15,10 @@
 /// The longest wait for the owner of a moving key is the time that is left divided by this.
 constexpr int move_wait_divisor = 3;
 constexpr milliseconds retry_after_move{250};
+/// Limits of the retry-after time for a cold upstream. Another host may admit the request earlier
+/// than this one.
+constexpr milliseconds min_cold_retry_delay{100};
+constexpr milliseconds max_cold_retry_delay{2'000};
 /// Acceptable expected time to an answer, as a fraction of the route's target time: one half.
 constexpr int acceptable_time_numerator = 1;
 constexpr int acceptable_time_denominator = 2;
@@ -60,8 +64,10 @@
                                    current.route->target * acceptable_time_numerator /
                                        acceptable_time_denominator,
                                    &current.failed_upstreams, traffic_.random_number()};
-    if (!traffic_.limits().is_empty()) {
-        criteria.admits = [this](const auto& entry) { return is_admitted(entry); };
+    if (!traffic_.limits().is_empty() || traffic_.has_cold_upstreams()) {
+        criteria.admits = [this](const auto& entry) {
+            return traffic_.admits_if_cold(entry) && is_admitted(entry);
+        };
     }
     const auto* chosen =
         service_upstreams == current.view->upstreams->end()
@@ -73,6 +79,7 @@
     if (chosen == nullptr) {
         current.reason = "the service has no other upstream";
         if (service_upstreams != current.view->upstreams->end()) {
+            refuse_if_cold(current, service_upstreams->second);
             set_earliest_retry_after(current, service_upstreams->second);
         }
         return false;
@@ -110,10 +117,12 @@
     while (true) {
         const auto* owner = find_settled_owner(current);
         const auto shed_backoff = owner == nullptr ? milliseconds{0} : shed_backoff_left(*owner);
+        const auto cold_delay =
+            owner == nullptr ? milliseconds{0} : traffic_.cold_admission_delay(*owner);
         // A request that may have run cannot be refused any more, so it waits for the end of the
         // backoff here, until `until` at most.
         const bool must_wait = current.state.may_have_run && shed_backoff.count() > 0;
-        if (owner != nullptr && !must_wait) {
+        if (owner != nullptr && !must_wait && cold_delay.count() == 0) {
             current.upstream = *owner;
             if (current.send_count == 0) {
                 traffic_.count_key(current.service, *current.metadata.key);
@@ -123,10 +132,17 @@
         if (now() >= until || watch_.has_caller_left()) {
             current.reason = must_wait ? owner_sheds_reason : "the key has no settled owner";
             current.retry_after = retry_after_move;
+            if (cold_delay.count() > 0 && !watch_.has_caller_left()) {
+                traffic_.metrics().increment("cold_refused_requests");
+                current.reason = "the owner is cold and takes few requests";
+                current.retry_after = cold_retry_delay(*owner);
+            }
             co_return false;
         }
-        const cw_time_point next_check = now() + shed_backoff;
-        co_await traffic_.wait_for_view(watch_, must_wait ? std::min(next_check, until) : until);
+        const auto delay = std::max(must_wait ? shed_backoff : milliseconds{0}, cold_delay);
+        const cw_time_point next_check = now() + delay;
+        co_await traffic_.wait_for_view(watch_,
+                                        delay.count() > 0 ? std::min(next_check, until) : until);
     }
 }
 
@@ -135,8 +151,30 @@
 }
 
 milliseconds cw_gateway_upstream_selector::retry_delay_of(const cw_upstream_entry& upstream) {
-    return std::max(time_until(traffic_.stats(upstream).retry_after()),
-                    traffic_.limits().retry_delay(upstream, cw_boot_clock::now()));
+    return std::max({time_until(traffic_.stats(upstream).retry_after()),
+                     traffic_.limits().retry_delay(upstream, cw_boot_clock::now()),
+                     cold_retry_delay(upstream)});
+}
+
+milliseconds cw_gateway_upstream_selector::cold_retry_delay(const cw_upstream_entry& upstream) {
+    const auto delay = traffic_.cold_admission_delay(upstream);
+    return delay.count() == 0 ? delay
+                              : std::clamp(delay, min_cold_retry_delay, max_cold_retry_delay);
+}
+
+void cw_gateway_upstream_selector::refuse_if_cold(cw_gateway_exchange& current,
+                                                  const std::vector<cw_upstream_entry>& upstreams) {
+    const auto is_left = [&](const cw_upstream_entry& upstream) {
+        const auto& failed = current.failed_upstreams;
+        return std::find(failed.begin(), failed.end(), upstream.id) == failed.end();
+    };
+    const bool is_cold = std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& upstream) {
+        return is_left(upstream) && !traffic_.admits_if_cold(upstream);
+    });
+    if (is_cold) {
+        traffic_.metrics().increment("cold_refused_requests");
+        current.reason = "the upstreams that are left are cold and take few requests";
+    }
 }
 
 bool cw_gateway_upstream_selector::is_admitted(const cw_upstream_entry& upstream) {
@@ -183,6 +221,7 @@
     const auto time_left = until - now();
     if (expected <= time_left || traffic_.stats(current.upstream).in_flight() == 0) {
         traffic_.limits().on_sent(current.upstream);
+        traffic_.on_sent_if_cold(current.upstream);
         return true;
     }
     current.reason = "the upstream's queue is longer than the time that is left";
--- a/Source/cw_gateway_upstream_selector.h
+++ b/Source/cw_gateway_upstream_selector.h
@@ -37,14 +37,21 @@
     /// fence it sets in the exchange. Null when the key is moving, the owner is not listed, or it
     /// has refused this request as not its own under the same fence.
     const cw_upstream_entry* find_settled_owner(cw_gateway_exchange& current);
-    /// Sets the owner of the request's key as the upstream, waiting for a settled one. Returns
-    /// false when there is none in time or the caller has left.
+    /// Sets the owner of the request's key as the upstream, waiting for a settled one, and for one
+    /// that is cold to admit the request. Returns false when there is none in time or the caller
+    /// has left.
     boost::asio::awaitable<bool> wait_for_owner(cw_gateway_exchange& current);
     /// Time left of an upstream's shed backoff; 0 when none is in effect.
     milliseconds shed_backoff_left(const cw_upstream_entry& upstream);
     /// Time until the upstream accepts requests again after its Retry-After, and until it probably
-    /// does within its limited rate; 0 when it does now.
+    /// does within its limited rate or while it is cold; 0 when it does now.
     milliseconds retry_delay_of(const cw_upstream_entry& upstream);
+    /// Time until a cold upstream probably takes a request, within limits; 0 when it does now.
+    milliseconds cold_retry_delay(const cw_upstream_entry& upstream);
+    /// Counts a request for which no upstream is left, and sets the reason, if an upstream that it
+    /// has not tried is cold and admits no request now.
+    void refuse_if_cold(cw_gateway_exchange& current,
+                        const std::vector<cw_upstream_entry>& upstreams);
     /// Sets the exchange's retry-after time to the shortest retry delay of the given upstreams, if
     /// any of them has one.
     void set_earliest_retry_after(cw_gateway_exchange& current,
--- a/Source/cw_limit_table.cpp
+++ b/Source/cw_limit_table.cpp
@@ -108,6 +108,11 @@
     }
 }
 
+std::uint32_t cw_limit_table::hosts() const {
+    const std::scoped_lock lock{mutex_};
+    return hosts_;
+}
+
 std::size_t cw_limit_table::size() const {
     const std::scoped_lock lock{mutex_};
     return static_cast<std::size_t>(std::count_if(
--- a/Source/cw_limit_table.h
+++ b/Source/cw_limit_table.h
@@ -41,6 +41,8 @@
     /// Applies the shares that the collecting host has given, and the number of hosts that may use
     /// an upstream.
     void apply(std::uint32_t hosts, const std::vector<cw_limit_share>& shares, cw_boot_time now);
+    /// Number of hosts that may use an upstream; 0 while it is unknown.
+    [[nodiscard]] std::uint32_t hosts() const;
     /// Number of upstreams with a limit.
     [[nodiscard]] std::size_t size() const;
     /// True if no upstream has a limit.
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -27,7 +27,7 @@
     return made;
 }
 
-std::shared_ptr<const cw_site_config> make_config(std::uint64_t version) {
+std::shared_ptr<const cw_site_config> make_config(std::uint64_t version, double cold_rate = 0.0) {
     cw_caller_limits limits;
     limits.max_header_bytes = 4'096;
     limits.max_body_bytes = 10'000;
@@ -40,7 +40,9 @@
     auto config = cw_site_config::make(
         version, limits,
         {route("safe", true), route("order", false), route("key", true), long_route},
-        {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
+        {{.name = "safe", .cold_rate = cold_rate},
+         {.name = "order", .cold_rate = cold_rate},
+         {.name = "key", .keyed = true, .cold_rate = cold_rate}});
     if (!config) {
         throw std::logic_error(config.error().text());
     }
@@ -137,6 +139,24 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_fixture::set_cold_rate(double cold_rate) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->config = make_config(view_->config->version() + 1, cold_rate);
+    view_ = view;
+    traffic_.publish(view);
+}
+
+void cw_gateway_fixture::set_cold(std::size_t index, std::chrono::milliseconds remaining) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    auto lists = *view->upstreams;
+    for (auto& [service, upstreams] : lists) {
+        upstreams.at(index).warm_at = cw_boot_clock::now() + remaining;
+    }
+    view->upstreams = std::make_shared<const cw_upstream_lists>(std::move(lists));
+    view_ = view;
+    traffic_.publish(view);
+}
+
 void cw_gateway_fixture::block_traffic(std::chrono::milliseconds duration) {
     net::post(traffic_.context(), [duration] { std::this_thread::sleep_for(duration); });
 }
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -43,6 +43,14 @@
     void set_key_owner(std::size_t index, bool is_moving);
     /// Replaces an upstream's address by one at which nothing listens.
     void make_unreachable(std::size_t index);
+    /// Publishes a configuration in which cold upstreams of each service tolerate the given rate.
+    void set_cold_rate(double cold_rate);
+    /// Publishes a view in which the upstream is cold for the given time.
+    void set_cold(std::size_t index, std::chrono::milliseconds remaining);
+    /// Sets the number of hosts that may use an upstream; 1 at first.
+    void set_host_count(std::uint32_t hosts) {
+        traffic_.limits().apply(hosts, {}, cw_boot_clock::now());
+    }
     /// Publishes a view without a configuration, as before the first read from the store.
     void clear_config();
     /// Publishes a view with the same configuration under another version.
