Move the keys of cold owners to warm upstreams where cold ones are limited

Cause: an owner that turns cold keeps its keys, of which it can serve a few requests a second only.

Change: while at least half of a service's candidates are warm, its steward leaves the cold ones out, so that their keys move with the handover, as those of a leaving upstream do. The control state tells each steward whether its service has a limit. Services without one are planned as before.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -89,6 +89,11 @@
     if (stewards_.empty()) {
         add_steward(keyless_service, now);
     }
+    for (auto& [name, steward] : stewards_) {
+        const auto service = config_->services().find(name);
+        steward->set_cold_limit(service != config_->services().end() &&
+                                service->second.cold_rate > 0.0);
+    }
 }
 
 void cw_gateway_control::add_steward(const std::string& service, cw_boot_time now) {
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -694,6 +694,11 @@
         list.push_back({owner, entry.slots * speeds_.relative_speed(id, mean_speed),
                         now >= entry.warm_at, balance_.is_cooling_down(id, now)});
     }
+    const auto is_warm = [](const cw_key_candidate& candidate) { return candidate.warm; };
+    const auto warm = static_cast<std::size_t>(std::count_if(list.begin(), list.end(), is_warm));
+    if (has_cold_limit_ && warm * 2 >= list.size()) {
+        std::erase_if(list, [&](const auto& candidate) { return !is_warm(candidate); });
+    }
     return list;
 }
 
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -70,6 +70,9 @@
     /// Raises the tenure to the given value; a lower value is ignored. Called when the settings
     /// have changed.
     void set_tenure(std::chrono::milliseconds tenure);
+    /// Sets whether cold upstreams of the service take few requests only, so that their keys are
+    /// moved to others.
+    void set_cold_limit(bool has_cold_limit) { has_cold_limit_ = has_cold_limit; }
     /// `is_reader` is true for the hosts with the most CPU capacity of a failure domain, which
     /// check the heartbeats of an unresponsive steward and succeed it. The other hosts wait longer
     /// before they do so, since in a large fleet all hosts would otherwise call the store at once
@@ -161,6 +164,8 @@
     /// True if an owner's process has ended: there is a later incarnation with its id, or another
     /// upstream answers at its address.
     [[nodiscard]] bool has_ended(const cw_key_owner& owner) const;
+    /// Upstreams that may own keys. Cold ones are left out, and so give their keys away, if the
+    /// service has a limit for them and at least half of the upstreams are not cold.
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
     /// Raises the fence of the first range whose owner refused a grant because it has seen a higher
     /// fence.
@@ -175,6 +180,7 @@
     cw_predecessors predecessors_;
     bool is_started_ = false;
     bool is_reader_ = true;
+    bool has_cold_limit_ = false;
 
     cw_key_table table_;
     std::uint64_t revision_ = 0;
--- a/Tests/Gateway/cw_ownership_simulation.cpp
+++ b/Tests/Gateway/cw_ownership_simulation.cpp
@@ -144,6 +144,7 @@
                      incarnation,
                      cw_steward{service, {host, incarnation, host + ":1"}, options_, engine_()},
                      {}});
+    hosts_[host]->steward.set_cold_limit(has_cold_limit_);
     publish_entries();
     tick_host(host, incarnation);
     send_report(host, incarnation);
@@ -285,6 +286,11 @@
     });
 }
 
+void cw_ownership_simulation::cool_upstream(const std::string& id, std::chrono::milliseconds cold) {
+    upstreams_.at(id)->warm_at = now_ + cold;
+    publish_entries();
+}
+
 void cw_ownership_simulation::start_work(const std::string& id, std::chrono::milliseconds length) {
     auto& upstream = *upstreams_.at(id);
     for (std::size_t sample = 0; sample < samples; ++sample) {
--- a/Tests/Gateway/cw_ownership_simulation.h
+++ b/Tests/Gateway/cw_ownership_simulation.h
@@ -38,6 +38,10 @@
     /// and shows the upstream as cold for the time `cold`.
     void start_upstream(const std::string& id, std::chrono::milliseconds entry_lag = {},
                         std::chrono::milliseconds cold = {});
+    /// Makes the upstream cold for the given time from now on, without a restart.
+    void cool_upstream(const std::string& id, std::chrono::milliseconds cold);
+    /// Sets whether the service has a limit for cold upstreams, on hosts that start from now on.
+    void set_cold_limit(bool has_cold_limit) { has_cold_limit_ = has_cold_limit; }
     /// Starts requests for all keys that the upstream holds; they run for the given time.
     void start_work(const std::string& id, std::chrono::milliseconds length);
     /// Ends an upstream's process: it holds no keys and refuses connections. Its entry is removed
@@ -160,6 +164,7 @@
     double lost_replies_ = 0.0;
     double late_commands_ = 0.0;
     double late_senders_ = 0.0;
+    bool has_cold_limit_ = false;
     std::size_t store_calls_ = 0;
     std::uint64_t grant_answers_ = 0;
     std::map<std::size_t, double> load_;
