Run pipelined idempotent requests of one connection at the same time

Cause: a request waited until all before it on its connection were answered. Change: while requests are in progress, cw_caller_watch reads what the caller sends, for all calls of the connection. A request that is complete in these bytes and is on an idempotent route starts at once, up to 8 are in progress, and answers are written in the order of the requests. Anything else is read in its turn by the code that reads the first request (cw_gateway_request_reader, moved out of the session, as cw_gateway_answer_writer). An answer that waits counts in the answer budget and may be evicted; the connection then closes in its turn. Requests are read ahead only while all requests take at most half of their budget, as others are rejected when it is used up. Two checks changed with the behaviour: caller_that_leaves_with_requests_behind_the_first_* expects that all three requests run and are cancelled, where it expected one; connection_kept_serves_one_request_after_the_other sends requests that are not idempotent, since idempotent ones now use several upstream connections.

--- a/Source/cw_call_watch.h
+++ b/Source/cw_call_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_caller_watch.h"
 #include "cw_socket_timeout.h"
 #include "cw_time.h"
 
@@ -7,20 +8,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <list>
 #include <memory>
 
-/// Cancels what a request waits for when its caller closes the connection or its deadline passes.
-///
-/// Bytes that the caller sends meanwhile, such as pipelined requests, are read into a buffer of up
-/// to `cw_max_pipelined_bytes`. Once the buffer is full the caller's disconnect is detected only
-/// when the answer is written.
+/// Cancels what a request waits for when its caller leaves, when its answer cannot be delivered, or
+/// when its deadline passes.
 class cw_call_watch {
 public:
-    /// Watches the caller until the watch is destroyed. Meanwhile no other operation may wait on
-    /// the caller's socket or use the buffer; both must outlive the watch.
-    cw_call_watch(boost::asio::io_context& context, boost::asio::ip::tcp::socket& caller,
-                  boost::beast::flat_buffer& caller_buffer);
+    cw_call_watch(boost::asio::io_context& context, std::shared_ptr<cw_caller_watch> caller);
     ~cw_call_watch();
     cw_call_watch(const cw_call_watch&) = delete;
     cw_call_watch& operator=(const cw_call_watch&) = delete;
@@ -35,19 +30,23 @@
     /// Ends the current sleep_until().
     void wake();
 
-    /// True when the caller's disconnect has been detected.
-    [[nodiscard]] bool has_caller_left() const;
+    /// True when the caller's disconnect has been detected, or the request was cancelled.
+    [[nodiscard]] bool has_caller_left() const { return caller_->has_ended(); }
     /// The same after polling the caller's socket: when this host is overloaded, the disconnect may
     /// have arrived before its event is handled.
-    [[nodiscard]] bool poll_caller_left();
+    [[nodiscard]] bool poll_caller_left() { return caller_->poll(); }
     /// True when the socket was closed because the deadline of the last watch_socket() passed.
     [[nodiscard]] bool has_timed_out() const { return timeout_.has_expired(); }
 
 private:
-    struct state;
+    friend class cw_caller_watch;
 
-    std::shared_ptr<state> state_;
-    boost::asio::ip::tcp::socket& caller_;
+    /// Closes the watched socket and ends the current sleep.
+    void end();
+
+    std::shared_ptr<cw_caller_watch> caller_;
+    std::list<cw_call_watch*>::iterator position_;
+    boost::asio::ip::tcp::socket* upstream_ = nullptr;
     cw_socket_timeout timeout_;
     boost::asio::steady_timer sleep_timer_;
 };
--- a/Source/cw_gateway_exchange.h
+++ b/Source/cw_gateway_exchange.h
@@ -8,6 +8,7 @@
 #include "cw_time.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
     std::shared_ptr<const cw_site_config> config;
     std::string service;
     cw_time_point started;
+    /// Requests of the same connection that were in progress when this one started.
+    std::size_t beside = 0;
     cw_time_point deadline;
     cw_retry_state state;
     /// Number of times that the request has been sent to an upstream.
--- a/Source/cw_gateway_session.h
+++ b/Source/cw_gateway_session.h
@@ -1,53 +1,61 @@
 #pragma once
 
+#include "cw_async_condition.h"
+#include "cw_buffered_request.h"
+#include "cw_gateway_answer_writer.h"
 #include "cw_gateway_attempt.h"
+#include "cw_gateway_call.h"
+#include "cw_gateway_log_fields.h"
 #include "cw_gateway_options.h"
+#include "cw_gateway_request_reader.h"
 #include "cw_gateway_upstream_selector.h"
 #include "cw_hop_by_hop_headers.h"
 #include "cw_key_hash.h"
 #include "cw_liveness_probe.h"
-#include "cw_read_room.h"
-#include "cw_reject_request.h"
-#include "cw_request_validation.h"
+#include "cw_pipeline_order.h"
 #include "cw_socket_timeout.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/serializer.hpp>
+#include <boost/asio/post.hpp>
 #include <memory>
+#include <vector>
 
 /// One caller's connection: reads requests, forwards each to an upstream, and writes the answers.
 ///
+/// Idempotent requests that the caller sends behind one another run at the same time; their answers
+/// are written in the order of the requests (`cw_pipeline_order`). Coroutines of requests in
+/// progress share the ownership of the session.
+///
 /// Requests and answers are buffered in full. A request can therefore be sent again where that is
 /// safe, and an answer is forwarded only when it has arrived completely.
 template <cw_gateway_dialect Dialect>
-class cw_gateway_session {
+class cw_gateway_session : public std::enable_shared_from_this<cw_gateway_session<Dialect>> {
 public:
     cw_gateway_session(cw_gateway_traffic& traffic, boost::asio::ip::tcp::socket caller)
         : traffic_{traffic},
           caller_{std::move(caller)},
-          timeout_{traffic.context()} {}
+          timeout_{traffic.context()},
+          call_ended_{traffic.context()} {}
 
     /// Serves the connection until either side closes it.
-    static boost::asio::awaitable<void> run(std::unique_ptr<cw_gateway_session> session) {
+    static boost::asio::awaitable<void> run(std::unique_ptr<cw_gateway_session> owned) {
+        const std::shared_ptr<cw_gateway_session> session{std::move(owned)};
         // The result is stored in a variable because g++ 12 miscompiles a loop with an empty body
         // and a co_await in its condition.
         bool is_open = true;
         while (is_open) {
             is_open = co_await session->serve_next_request();
         }
+        session->end_connection();
     }
 
 private:
     using status = boost::beast::http::status;
-    using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using milliseconds = std::chrono::milliseconds;
 
-    /// Maximum time for a caller to send a request's body, or to receive an answer.
-    static constexpr std::chrono::seconds transfer_timeout{20};
     /// The deadline is this much before the end of the caller's own time limit.
     static constexpr milliseconds answer_margin{20};
     /// Minimum time left before the deadline for which another attempt is made.
@@ -58,8 +66,10 @@
     static constexpr milliseconds stopping_retry_after{20};
     /// Multiple of the target latency within which an idempotent request is expected to end.
     static constexpr int expected_target_multiple = 2;
-    /// Maximum time for sending the answer to a rejected request and reading the rest of it.
-    static constexpr milliseconds linger_time{500};
+    /// Requests are read ahead while all requests take no more than the memory for them divided by
+    /// this. The rest is left for requests that are read in their turn, which are rejected if there
+    /// is no memory for them.
+    static constexpr std::uint64_t read_ahead_memory_divisor = 2;
     /// Failed connects that do not count as attempts, for services without keys.
     static constexpr std::uint32_t max_uncounted_connect_failures = 2;
     /// Maximum attempts while each upstream answers that it does not own the key.
@@ -67,169 +77,286 @@
 
     static cw_time_point now() { return std::chrono::steady_clock::now(); }
 
-    /// Returns false when the connection is to be closed.
+    /// Serves the next request, and those behind it that may run at the same time, until all are
+    /// answered. Returns false when the connection is to be closed.
     boost::asio::awaitable<bool> serve_next_request() {
         const auto config = traffic_.view()->config;
         const auto limits = config == nullptr ? cw_caller_limits{} : config->limits();
-        parser_type parser;
+        cw_gateway_request_reader::parser_type parser;
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
         // Each caller pays for its own request only.
-        cw_buffer_budget::buffer memory{traffic_.request_budget(), {}};
-        if (!co_await read_request(parser, limits, memory)) {
+        auto first = std::make_shared<cw_gateway_call>(traffic_.request_budget());
+        if (!co_await reader_.read(parser, limits, first->memory)) {
             co_return false;
         }
-        memory.pin();
+        first->exchange.request = parser.release();
+        find_route(first->exchange);
+        // Its memory is given back as soon as it is answered, so only `calls_` keeps it.
+        start(std::move(first));
+        caller_watch_ = std::make_shared<cw_caller_watch>(caller_, buffer_);
+        caller_watch_->start([this] { read_ahead(); });
+        if (buffer_.size() != 0) {
+            // Later, so that the first request is sent first.
+            boost::asio::post(traffic_.context(),
+                              [self = this->shared_from_this()] { self->read_ahead(); });
+        }
+        co_await process(*calls_.front());
+        const bool is_open = co_await answer_in_order();
+        caller_watch_->stop();
+        co_return is_open && !traffic_.view()->stopping;
+    }
+
+    /// Starts the requests that have arrived completely behind those in progress and may run at the
+    /// same time. All others are read when those in progress are answered.
+    void read_ahead() {
+        const auto config = traffic_.view()->config;
+        const auto limits = config == nullptr ? cw_caller_limits{} : config->limits();
+        while (order_.may_read_ahead() && !traffic_.view()->stopping &&
+               !caller_watch_->has_ended()) {
+            auto parsed = cw_parse_buffered_request(buffer_, limits);
+            if (parsed.arrived == cw_buffered_request::state::incomplete) {
+                return;
+            }
+            if (parsed.arrived != cw_buffered_request::state::complete ||
+                !start_beside(std::move(parsed))) {
+                order_.hold_next();
+            }
+        }
+    }
+
+    /// Starts a request that was read ahead. Returns false if it has to wait until the requests
+    /// before it are answered.
+    bool start_beside(cw_buffered_request parsed) {
+        auto& budget = traffic_.request_budget();
+        if (budget.bytes() + parsed.bytes > budget.limit() / read_ahead_memory_divisor) {
+            return false;
+        }
+        const auto next = std::make_shared<cw_gateway_call>(budget);
+        next->exchange.request = std::move(parsed.request);
+        find_route(next->exchange);
+        if (!order_.may_start(mode_of(next->exchange))) {
+            return false;
+        }
+        buffer_.consume(parsed.bytes);
+        next->memory.resize(parsed.bytes);
+        next->exchange.beside = order_.in_progress();
+        traffic_.metrics().increment("pipelined_requests");
+        start(next);
+        boost::asio::co_spawn(traffic_.context(), run_beside(this->shared_from_this(), next),
+                              boost::asio::detached);
+        return true;
+    }
+
+    /// What may run at the same time as a request whose route is known. The bytes behind a request
+    /// to change the protocol may belong to another protocol until it is answered.
+    static cw_pipeline_order::mode mode_of(const cw_gateway_exchange& exchange) {
+        const auto& request = exchange.request;
+        const bool is_upgrade = request.find(boost::beast::http::field::upgrade) != request.end();
+        if (exchange.route == nullptr || !exchange.route->repeatable || is_upgrade) {
+            return cw_pipeline_order::mode::alone;
+        }
+        return request.keep_alive() ? cw_pipeline_order::mode::concurrent
+                                    : cw_pipeline_order::mode::last;
+    }
+
+    void start(std::shared_ptr<cw_gateway_call> call) {
+        call->memory.pin();
         ++traffic_.open_requests;
-        const bool keep_alive = parser.get().keep_alive();
-        cw_gateway_exchange exchange;
-        exchange.started = now();
-        exchange.request = parser.release();
-        exchange.metadata = Dialect::metadata_of(exchange.request);
-        const bool was_written = co_await handle_request(exchange);
-        --traffic_.open_requests;
-        co_return was_written&& keep_alive && !traffic_.view()->stopping;
+        call->keep_alive = call->exchange.request.keep_alive();
+        call->exchange.started = now();
+        call->exchange.metadata = Dialect::metadata_of(call->exchange.request);
+        call->number = order_.start(mode_of(call->exchange));
+        calls_.push_back(std::move(call));
     }
 
-    /// Returns false when the connection stayed idle too long or has ended.
-    boost::asio::awaitable<bool> wait_for_request(const cw_caller_limits& limits) {
-        if (buffer_.size() != 0) {
-            co_return true;
-        }
-        const auto position =
-            traffic_.idle_connections.insert(traffic_.idle_connections.end(), &caller_);
-        timeout_.set(caller_, now() + limits.idle_timeout);
-        boost::system::error_code failure;
-        co_await caller_.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                                    cw_redirect_error(failure));
-        traffic_.idle_connections.erase(position);
-        const bool is_late = timeout_.has_expired();
-        timeout_.clear();
-        // A shutdown cancels the wait; a request that has already arrived is still served.
-        co_return !is_late && (!failure || caller_.available(failure) != 0);
+    static boost::asio::awaitable<void> run_beside(std::shared_ptr<cw_gateway_session> session,
+                                                   std::shared_ptr<cw_gateway_call> call) {
+        co_await session->process(*call);
+        session->hold_answer(*call);
+        session->call_ended_.notify_all();
     }
 
-    boost::asio::awaitable<bool> read_request(parser_type& parser, const cw_caller_limits& limits,
-                                              cw_buffer_budget::buffer& memory) {
-        namespace http = boost::beast::http;
-        if (!co_await wait_for_request(limits)) {
-            co_return false;
+    /// Runs a request until it is known what the caller gets.
+    boost::asio::awaitable<void> process(cw_gateway_call& call) {
+        if (!caller_watch_->has_ended()) {
+            co_await handle_request(call);
         }
-        boost::system::error_code failure;
-        timeout_.set(caller_, now() + limits.header_timeout);
-        co_await http::async_read_header(caller_, buffer_, parser, cw_redirect_error(failure));
-        if (!failure) {
-            if (const auto error = cw_validate_request(parser.get(), parser.chunked())) {
-                timeout_.clear();
-                co_await reject(*error);
-                co_return false;
-            }
-            if (parser.get()[http::field::expect] == "100-continue") {
-                http::response<http::empty_body> continue_answer{status::continue_, 11};
-                co_await http::async_write(caller_, continue_answer, cw_redirect_error(failure));
+        call.has_ended = true;
+        order_.finish(call.number);
+        if (call.result == cw_gateway_call::outcome::none) {
+            record_cancelled(call);
+        }
+        if (has_ended_) {
+            drop(call);
+        }
+    }
+
+    /// Counts an answer that waits for its turn among those that may be evicted. Behind an evicted
+    /// one no answer can be delivered, as the connection closes in its turn.
+    void hold_answer(cw_gateway_call& call) {
+        auto& exchange = call.exchange;
+        if (exchange.answer_buffer == nullptr || has_ended_) {
+            return;
+        }
+        exchange.answer_buffer->on_eviction([this, &exchange] {
+            std::string{}.swap(exchange.answer.body());
+            order_.close();
+        });
+        exchange.answer_buffer->resize(exchange.answer.body().capacity());
+    }
+
+    /// Writes the answers in the order of the requests until none is in progress. Returns false
+    /// when the connection is to be closed.
+    boost::asio::awaitable<bool> answer_in_order() {
+        bool is_open = true;
+        while (is_open && order_.in_progress() != 0) {
+            if (!order_.next_answer()) {
+                co_await call_ended_.wait(cw_time_point::max());
+                continue;
             }
-            timeout_.set(caller_, now() + transfer_timeout);
-            failure = co_await read_body(parser, memory);
-        }
-        const bool is_late = timeout_.has_expired();
-        timeout_.clear();
-        if (memory.is_evicted()) {
-            traffic_.metrics().increment("requests_beyond_memory");
-            co_await reject(
-                {status::service_unavailable, "this host holds too many large requests"});
+            const auto call = calls_.front();
+            is_open = co_await answer_next(*call);
+            calls_.erase(calls_.begin());
+            order_.on_answered();
+            --traffic_.open_requests;
+            read_ahead();
+            caller_watch_->resume();
+        }
+        co_return is_open;
+    }
+
+    /// Writes the answer of the oldest request. Returns false when the connection is to be closed.
+    boost::asio::awaitable<bool> answer_next(cw_gateway_call& call) {
+        if (call.result == cw_gateway_call::outcome::none) {
             co_return false;
         }
-        if (!failure) {
-            co_return true;
+        if (call.exchange.beside != 0 && caller_watch_->has_ended()) {
+            record_cancelled(call);
+            co_return false;
         }
-        if (is_late) {
-            co_await reject({status::request_timeout, "the request takes too long to arrive"});
-        } else if (const auto error = cw_parse_error(failure)) {
-            co_await reject(*error);
+        const auto& answer_buffer = call.exchange.answer_buffer;
+        if (answer_buffer != nullptr && answer_buffer->is_evicted()) {
+            traffic_.metrics().increment("oversized_answers");
+            call.exchange.reason = "its answer was dropped while it waited for its turn, as all "
+                                   "answers together exceed the memory for them";
+            record_cancelled(call);
+            co_return false;
         }
-        co_return false;
+        // A process that stops closes the connection with the last answer that is due.
+        const bool may_keep_open = !traffic_.view()->stopping || order_.in_progress() > 1;
+        const bool was_written = co_await writer_.write(call, may_keep_open);
+        co_return was_written&& call.keep_alive;
     }
 
-    /// Reads the rest of a request, until all requests together need too much memory and this one
-    /// is the largest of those that are being read.
-    boost::asio::awaitable<boost::system::error_code> read_body(parser_type& parser,
-                                                                cw_buffer_budget::buffer& memory) {
-        boost::system::error_code failure;
-        memory.on_eviction([this] {
-            boost::system::error_code ignored;
-            caller_.cancel(ignored);
-        });
-        const auto count_memory = [&] {
-            memory.resize(parser.get().body().capacity() + buffer_.capacity());
-        };
-        while (!failure && !parser.is_done()) {
-            cw_make_read_room(buffer_, parser, cw_traffic_read_room);
-            count_memory();
-            if (memory.is_evicted()) {
-                break;
+    /// Cancels the requests that are still in progress, and closes the connection.
+    void end_connection() {
+        has_ended_ = true;
+        order_.close();
+        if (caller_watch_ != nullptr) {
+            caller_watch_->cancel_calls();
+            caller_watch_->stop();
+        }
+        for (const auto& call : calls_) {
+            if (call->has_ended) {
+                drop(*call);
             }
-            co_await boost::beast::http::async_read_some(caller_, buffer_, parser,
-                                                         cw_redirect_error(failure));
         }
-        cw_release_read_room(buffer_);
-        count_memory();
-        memory.on_eviction(nullptr);
-        co_return failure;
+        calls_.clear();
+        boost::system::error_code ignored;
+        caller_.close(ignored);
+    }
+
+    /// Drops a request that has ended and gets no answer because the connection has ended, too.
+    void drop(cw_gateway_call& call) {
+        if (call.result != cw_gateway_call::outcome::none) {
+            record_cancelled(call);
+        }
+        call.exchange.answer_buffer.reset();
+        --traffic_.open_requests;
     }
 
-    /// Responds to an invalid or incomplete request with its error and closes the connection.
-    boost::asio::awaitable<void> reject(cw_request_error error) {
-        traffic_.metrics().increment("rejected_requests");
-        traffic_.log().info(
-            "Rejected.",
-            {{"status", std::to_string(static_cast<int>(error.status))}, {"reason", error.reason}});
-        timeout_.set(caller_, now() + linger_time);
-        co_await cw_reject_request(caller_, error);
-        timeout_.clear();
+    /// Logs a request whose caller has left, or whose connection closes before its turn.
+    void record_cancelled(cw_gateway_call& call) {
+        const bool has_left = caller_watch_->has_caller_left();
+        if (!has_left && call.exchange.reason.empty()) {
+            call.exchange.reason = "the connection closes before its answer";
+        }
+        traffic_.metrics().increment(has_left ? "abandoned_requests" : "cancelled_requests");
+        traffic_.log().info(has_left ? "Caller left." : "Cancelled.",
+                            cw_gateway_log_fields(call.exchange, cw_attempt_result::caller_left));
     }
 
-    /// Returns false when no answer was written.
-    boost::asio::awaitable<bool> handle_request(cw_gateway_exchange& exchange) {
+    /// Sets the configuration in force, and the route that it has for the request.
+    void find_route(cw_gateway_exchange& exchange) const {
         exchange.view = traffic_.view();
         exchange.config = exchange.view->config;
+        if (exchange.config == nullptr) {
+            return;
+        }
+        const auto target = exchange.request.target();
+        const auto path = std::string_view{target.data(), target.size()};
+        const auto host = exchange.request[boost::beast::http::field::host];
+        exchange.route =
+            exchange.config->find({host.data(), host.size()}, path.substr(0, path.find('?')));
+    }
+
+    /// Sets what the caller gets: the answer of an upstream, or why there is none.
+    boost::asio::awaitable<void> handle_request(cw_gateway_call& call) {
+        using outcome = cw_gateway_call::outcome;
+        auto& exchange = call.exchange;
+        call.result = outcome::refusal;
         if (exchange.config == nullptr) {
             exchange.reason = "no configuration is known yet";
             exchange.retry_after = unready_retry_after;
-            co_return co_await send_refusal(exchange);
+            co_return;
         }
         if (traffic_.is_config_overdue(cw_boot_clock::now())) {
             exchange.reason = "a later configuration has to be in force and is not yet";
             exchange.retry_after = unready_retry_after;
-            co_return co_await send_refusal(exchange);
+            co_return;
         }
-        const auto target = exchange.request.target();
-        const auto path = std::string_view{target.data(), target.size()};
-        const auto host = exchange.request[boost::beast::http::field::host];
-        exchange.route =
-            exchange.config->find({host.data(), host.size()}, path.substr(0, path.find('?')));
         if (exchange.route == nullptr && traffic_.is_config_outdated(cw_boot_clock::now())) {
             exchange.reason = "the route may be in a configuration that is not known here yet";
             exchange.retry_after = unready_retry_after;
-            co_return co_await send_refusal(exchange);
+            co_return;
         }
         if (exchange.route == nullptr) {
             exchange.reason = "no route has this host name and path";
-            co_return co_await send_error_answer(exchange, status::not_found);
+            call.result = outcome::error;
+            call.error_status = status::not_found;
+            co_return;
         }
         exchange.service = traffic_.choose_service(*exchange.route);
         prepare_request(exchange);
         if (is_too_late_before_stop(exchange)) {
             exchange.reason = "this host stops before the request has surely ended";
             exchange.retry_after = stopping_retry_after;
-            co_return co_await send_refusal(exchange);
+            co_return;
         }
         exchange.deadline = std::min(exchange.deadline, traffic_.answers_until());
         cw_attempt_result result{};
         {
-            cw_call_watch watch{traffic_.context(), caller_, buffer_};
+            cw_call_watch watch{traffic_.context(), caller_watch_};
             result = co_await forward(exchange, watch);
         }
-        co_return co_await respond(exchange, result);
+        set_outcome(call, result);
+    }
+
+    /// Sets what the caller gets after the last attempt.
+    static void set_outcome(cw_gateway_call& call, cw_attempt_result result) {
+        using outcome = cw_gateway_call::outcome;
+        if (result == cw_attempt_result::caller_left) {
+            call.result = outcome::none;
+        } else if (result == cw_attempt_result::answered) {
+            call.result = outcome::answer;
+        } else if (!call.exchange.state.may_have_run) {
+            call.result = outcome::refusal;
+        } else {
+            call.result = outcome::error;
+            call.error_status = result == cw_attempt_result::timed_out ? status::gateway_timeout
+                                                                       : status::bad_gateway;
+        }
     }
 
     /// Sets the deadline and the attempt limits, and makes the request fit to be forwarded.
@@ -306,7 +433,7 @@
             if (result == cw_attempt_result::refused_not_owner) {
                 exchange.refused_fence = exchange.fence;
             }
-            traffic_.log().info("Tries again.", log_fields(exchange, result));
+            traffic_.log().info("Tries again.", cw_gateway_log_fields(exchange, result));
         }
     }
 
@@ -372,114 +499,18 @@
                (exchange.send_count == 0 || exchange.state.has_retry_token);
     }
 
-    boost::asio::awaitable<bool> respond(cw_gateway_exchange& exchange, cw_attempt_result result) {
-        if (result == cw_attempt_result::caller_left) {
-            traffic_.metrics().increment("abandoned_requests");
-            traffic_.log().info("Caller left.", log_fields(exchange, result));
-            co_return false;
-        }
-        if (result == cw_attempt_result::answered) {
-            co_return co_await forward_answer(exchange);
-        }
-        if (!exchange.state.may_have_run) {
-            co_return co_await send_refusal(exchange);
-        }
-        co_return co_await send_error_answer(exchange, result == cw_attempt_result::timed_out
-                                                           ? status::gateway_timeout
-                                                           : status::bad_gateway);
-    }
-
-    boost::asio::awaitable<bool> forward_answer(cw_gateway_exchange& exchange) {
-        auto& answer = exchange.answer;
-        cw_remove_hop_by_hop_headers(answer);
-        if (exchange.request.method() != boost::beast::http::verb::head) {
-            answer.chunked(false);
-            answer.content_length(answer.body().size());
-        }
-        traffic_.metrics().increment("answered_requests");
-        traffic_.log().info("Answered.", log_fields(exchange, cw_attempt_result::answered));
-        co_return co_await write_answer(exchange);
-    }
-
-    boost::asio::awaitable<bool> send_refusal(cw_gateway_exchange& exchange) {
-        // Random jitter, so that callers refused at the same time do not retry at the same time.
-        const auto max_jitter = exchange.retry_after.count() / 2 + 1;
-        const auto retry_after =
-            exchange.retry_after +
-            milliseconds{static_cast<std::int64_t>(traffic_.random_number() %
-                                                   static_cast<std::uint64_t>(max_jitter))};
-        exchange.answer =
-            cw_make_response(status::service_unavailable, exchange.reason + "\n", "text/plain");
-        Dialect::set_retry_after(exchange.answer, retry_after);
-        traffic_.metrics().increment("refused_requests");
-        auto list = log_fields(exchange, cw_attempt_result::refused_busy);
-        list.emplace_back("return_ms", std::to_string(retry_after.count()));
-        traffic_.log().info("Refused.", list);
-        Dialect::set_attempt_id(exchange.answer, exchange.metadata.attempt_id);
-        co_return co_await write_answer(exchange);
-    }
-
-    boost::asio::awaitable<bool> send_error_answer(cw_gateway_exchange& exchange, status code) {
-        exchange.answer = cw_make_response(code, exchange.reason + "\n", "text/plain");
-        traffic_.metrics().increment("failed_requests");
-        auto list = log_fields(exchange, cw_attempt_result::malformed);
-        list.emplace_back("status", std::to_string(static_cast<int>(code)));
-        traffic_.log().info("Failed.", list);
-        Dialect::set_attempt_id(exchange.answer, exchange.metadata.attempt_id);
-        co_return co_await write_answer(exchange);
-    }
-
-    boost::asio::awaitable<bool> write_answer(cw_gateway_exchange& exchange) {
-        namespace http = boost::beast::http;
-        auto& answer = exchange.answer;
-        answer.version(11);
-        answer.keep_alive(exchange.request.keep_alive() && !traffic_.view()->stopping);
-        if (exchange.route != nullptr) {
-            traffic_.metrics().observe_latency(exchange.route->name, now() - exchange.started);
-        }
-        boost::system::error_code failure;
-        timeout_.set(caller_, now() + transfer_timeout);
-        if (exchange.answer_buffer != nullptr) {
-            exchange.answer_buffer->on_eviction([this] {
-                boost::system::error_code ignored;
-                caller_.close(ignored);
-            });
-            exchange.answer_buffer->resize(answer.body().capacity());
-        }
-        if (exchange.request.method() == http::verb::head) {
-            http::response_serializer<http::string_body> serializer{answer};
-            co_await http::async_write_header(caller_, serializer, cw_redirect_error(failure));
-        } else {
-            co_await http::async_write(caller_, answer, cw_redirect_error(failure));
-        }
-        timeout_.clear();
-        co_return !failure;
-    }
-
-    /// Log fields with the data on which the decision about the request was based.
-    std::vector<cw_log_field> log_fields(const cw_gateway_exchange& exchange,
-                                         cw_attempt_result result) const {
-        const auto elapsed =
-            std::chrono::duration_cast<milliseconds>(now() - exchange.started).count();
-        std::vector<cw_log_field> list{
-            {"id", exchange.metadata.attempt_id},
-            {"route", exchange.route == nullptr ? "" : exchange.route->name},
-            {"config", std::to_string(exchange.config == nullptr ? 0 : exchange.config->version())},
-            {"upstream", exchange.upstream.id},
-            {"sent", std::to_string(exchange.send_count)},
-            {"ms", std::to_string(elapsed)}};
-        if (exchange.metadata.key) {
-            list.emplace_back("key", std::to_string(*exchange.metadata.key));
-            list.emplace_back("fence", std::to_string(exchange.fence));
-        }
-        if (result != cw_attempt_result::answered) {
-            list.emplace_back("reason", exchange.reason);
-        }
-        return list;
-    }
-
     cw_gateway_traffic& traffic_;
     boost::asio::ip::tcp::socket caller_;
     cw_socket_timeout timeout_;
     boost::beast::flat_buffer buffer_{cw_max_read_buffer};
+    cw_gateway_request_reader reader_{traffic_, caller_, buffer_, timeout_};
+    cw_gateway_answer_writer<Dialect> writer_{traffic_, caller_, timeout_};
+    /// Watches the caller while requests are in progress; null before the first.
+    std::shared_ptr<cw_caller_watch> caller_watch_;
+    cw_pipeline_order order_;
+    /// Requests in progress, in the order of `order_`.
+    std::vector<std::shared_ptr<cw_gateway_call>> calls_;
+    /// Notified when a request that was read ahead has ended.
+    cw_async_condition call_ended_;
+    bool has_ended_ = false;
 };
--- a/Tests/Gateway/cw_forwarding_test.cpp
+++ b/Tests/Gateway/cw_forwarding_test.cpp
@@ -298,7 +298,7 @@
 TEST_CASE("connection_kept_serves_one_request_after_the_other") {
     cw_gateway_fixture gateway{{respond_ok()}};
     const std::string request =
-        "GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers + "\r\n";
+        "GET /order/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers + "\r\n";
     const auto answer = cw_send_raw(gateway.port(), {request + request + request}, 0ms, 500ms);
     std::size_t count = 0;
     for (auto at = answer.find("HTTP/1.1 200"); at != std::string::npos;
@@ -457,7 +457,7 @@
     }
 }
 
-TEST_CASE("caller_that_leaves_with_requests_behind_the_first_has_it_cancelled") {
+TEST_CASE("caller_that_leaves_with_requests_behind_the_first_has_all_cancelled") {
     cw_gateway_fixture gateway{{[](const std::string& request) {
         return cw_raw_upstream::reply{cw_upstream_answer(request, "200 OK", signature, "late"),
                                       false, 2s};
@@ -466,11 +466,11 @@
         "GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n" + attempt_headers + "\r\n";
     static_cast<void>(cw_send_raw(gateway.port(), {request, request, request}, 60ms, 0ms));
     const auto until = std::chrono::steady_clock::now() + 500ms;
-    while (gateway.upstream(0).cancelled() == 0 && std::chrono::steady_clock::now() < until) {
+    while (gateway.upstream(0).cancelled() < 3 && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(5ms);
     }
-    CHECK(gateway.upstream(0).cancelled() == 1);
-    CHECK(gateway.upstream(0).requests() == 1);
+    CHECK(gateway.upstream(0).cancelled() == 3);
+    CHECK(gateway.upstream(0).requests() == 3);
 }
 
 TEST_CASE("requests_sent_behind_one_another_are_answered_in_their_order") {
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -27,7 +27,9 @@
     return made;
 }
 
-std::shared_ptr<const cw_site_config> make_config(std::uint64_t version) {
+/// The configuration of the fixture; `removed` names a route that it lacks.
+std::shared_ptr<const cw_site_config> make_config(std::uint64_t version,
+                                                  const std::string& removed = {}) {
     cw_caller_limits limits;
     limits.max_header_bytes = 4'096;
     limits.max_body_bytes = 10'000;
@@ -37,10 +39,12 @@
     long_route.parts = {{"safe", 1}};
     long_route.timeout = 4s;
     long_route.target = 200ms;
-    auto config = cw_site_config::make(
-        version, limits,
-        {route("safe", true), route("order", false), route("key", true), long_route},
-        {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
+    std::vector<cw_site_route> routes{route("safe", true), route("order", false),
+                                      route("key", true), long_route};
+    std::erase_if(routes, [&](const auto& each) { return each.name == removed; });
+    auto config =
+        cw_site_config::make(version, limits, std::move(routes),
+                             {{.name = "safe"}, {.name = "order"}, {.name = "key", .keyed = true}});
     if (!config) {
         throw std::logic_error(config.error().text());
     }
@@ -137,6 +141,13 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_fixture::remove_route(const std::string& name, std::uint64_t version) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->config = make_config(version, name);
+    view_ = view;
+    traffic_.publish(view);
+}
+
 void cw_gateway_fixture::block_traffic(std::chrono::milliseconds duration) {
     net::post(traffic_.context(), [duration] { std::this_thread::sleep_for(duration); });
 }
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -47,6 +47,10 @@
     void clear_config();
     /// Publishes a view with the same configuration under another version.
     void set_config(std::uint64_t version);
+    /// Publishes a view with a configuration of another version that lacks the route of this name.
+    void remove_route(const std::string& name, std::uint64_t version);
+    /// Requests that have no answer yet.
+    [[nodiscard]] std::uint64_t open_requests() const { return traffic_.open_requests; }
     /// Sets which configuration this host has heard of, for how long it has heard of no other, and
     /// whether its sources answer. What it has received is in force.
     void set_known_config(std::uint64_t version, std::chrono::milliseconds lag,
