Make two cases of pipelined requests show what they guard against

The ninth request was also held back when a limit of nine was built, as an answer had been released before; input that is awaited once was not noticed, as one event brought all of the rest.

--- a/Tests/Gateway/cw_pipelining_test.cpp
+++ b/Tests/Gateway/cw_pipelining_test.cpp
@@ -302,6 +302,9 @@
 TEST_CASE_FIXTURE(pipelining_gateway, "pipelined_ninth_request_waits_until_the_first_is_answered") {
     caller.send(requests_text(10));
     REQUIRE(upstreams.wait_for(8));
+    std::this_thread::sleep_for(200ms);
+    CHECK(upstreams.arrived().size() == 8);
+    // An answer that waits for its turn counts as in progress.
     upstreams.release("p2");
     std::this_thread::sleep_for(100ms);
     CHECK(upstreams.arrived().size() == 8);
@@ -456,7 +459,10 @@
     REQUIRE(upstreams.wait_for(1));
     std::this_thread::sleep_for(50ms);
     CHECK(upstreams.arrived().size() == 1);
-    caller.send(text.substr(text.size() - 2) + request_text("p3", "/safe/a"));
+    caller.send(text.substr(text.size() - 2, 1));
+    std::this_thread::sleep_for(50ms);
+    CHECK(upstreams.arrived().size() == 1);
+    caller.send(text.substr(text.size() - 1) + request_text("p3", "/safe/a"));
     CHECK(upstreams.wait_for(3));
     CHECK(upstreams.texts().find("\r\n\r\nbody") != std::string::npos);
     upstreams.release_all();
