Send nothing to evacuated failure domains, and move their keys

The reader of a domain follows the evacuations and passes the complete set on with each response of the feed; followers name the position that they know, and are answered at once when it is older. A host that starts uses no entries before it knows the set, for 3 s at most. With evacuation_bound 0 no call is made and no member is sent.

--- a/Source/cw_control_event.h
+++ b/Source/cw_control_event.h
@@ -5,12 +5,14 @@
 #include "cw_leaving_notice.h"
 #include "cw_site_config.h"
 #include "cw_steward_event.h"
+#include "cw_store_position.h"
 #include "cw_upstream_entry.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +25,13 @@
 struct cw_config_received {
     std::shared_ptr<const cw_site_config> config;
 };
+/// The names of all evacuated failure domains, as of a position of the store.
+struct cw_evacuations_received {
+    std::set<std::string> names;
+    cw_store_position position;
+    /// Longest time for which the change can have been unknown to this host.
+    std::chrono::milliseconds lag{0};
+};
 /// All upstream entries, from one read of the store.
 struct cw_upstreams_listed {
     std::vector<cw_upstream_entry> entries;
@@ -86,7 +95,7 @@
 struct cw_stop_requested {};
 
 using cw_control_event =
-    std::variant<cw_clock_tick, cw_config_received, cw_upstreams_listed, cw_upstreams_changed,
-                 cw_store_failed, cw_store_restored, cw_ownership_event, cw_steward_answer,
-                 cw_table_received, cw_succession, cw_host_report, cw_local_load, cw_crash_report,
-                 cw_leaving_notice, cw_ownership_limits, cw_stop_requested>;
+    std::variant<cw_clock_tick, cw_config_received, cw_evacuations_received, cw_upstreams_listed,
+                 cw_upstreams_changed, cw_store_failed, cw_store_restored, cw_ownership_event,
+                 cw_steward_answer, cw_table_received, cw_succession, cw_host_report, cw_local_load,
+                 cw_crash_report, cw_leaving_notice, cw_ownership_limits, cw_stop_requested>;
--- a/Source/cw_feed_answer.cpp
+++ b/Source/cw_feed_answer.cpp
@@ -6,6 +6,25 @@
 constexpr std::string_view config_name{"config"};
 /// Name of the reader's status in the query parameter.
 constexpr std::string_view status_name{"word"};
+
+void write_evacuations(nlohmann::json& value, const cw_feed_answer& answer) {
+    value["evacuated"] = answer.evacuations->names;
+    value["evacuated_era"] = answer.evacuations->position.era;
+    value["evacuated_revision"] = answer.evacuations->position.revision;
+    value["evacuated_lag_ms"] = answer.evacuations_lag.count();
+    if (!answer.evacuations->retained.empty()) {
+        value["evacuated_retained"] = answer.evacuations->retained;
+    }
+}
+
+void read_evacuations(const nlohmann::json& value, cw_feed_answer& answer) {
+    using name_set = std::set<std::string>;
+    answer.evacuations = cw_evacuation_set{value.at("evacuated").get<name_set>(),
+                                           value.value("evacuated_retained", name_set{}),
+                                           {value.at("evacuated_era").get<std::uint64_t>(),
+                                            value.at("evacuated_revision").get<std::uint64_t>()}};
+    answer.evacuations_lag = std::chrono::milliseconds{value.value("evacuated_lag_ms", 0)};
+}
 } // namespace
 
 std::string_view cw_feed_part_name(cw_feed_part part) {
@@ -41,6 +60,9 @@
     if (!config_deltas.is_null()) {
         value["config_deltas"] = config_deltas;
     }
+    if (evacuations) {
+        write_evacuations(value, *this);
+    }
     auto text = value.dump();
     if (!config_text.empty()) {
         // The text of a whole configuration is large and the same for all followers.
@@ -81,6 +103,9 @@
         if (value.contains("config_deltas")) {
             answer.config_deltas = std::move(value.at("config_deltas"));
         }
+        if (value.contains("evacuated")) {
+            read_evacuations(value, answer);
+        }
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse a reader's answer", "", failure.what()});
     }
--- a/Source/cw_feed_answer.h
+++ b/Source/cw_feed_answer.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "cw_error.h"
+#include "cw_evacuation_set.h"
 #include "cw_reader_selector.h"
 #include "cw_upstream_delta.h"
 
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -41,6 +43,11 @@
     std::string config_text;
     /// The deltas that make the reader's configuration from the one that the host named.
     nlohmann::json config_deltas;
+    /// The evacuated failure domains; none from a host that does not know them, since it runs an
+    /// earlier release or its deployment has no evacuations.
+    std::optional<cw_evacuation_set> evacuations;
+    /// Time for which a change of these may have been unknown to the reader.
+    std::chrono::milliseconds evacuations_lag{0};
 
     /// When the host that asked sent its request; set by that host.
     cw_boot_time sent_at{};
--- a/Source/cw_feed_client.cpp
+++ b/Source/cw_feed_client.cpp
@@ -8,12 +8,20 @@
 /// Time within which a reader sends the first byte of its answer, which may have to be made first.
 constexpr std::chrono::milliseconds first_byte_grace{1'000};
 
+std::string evacuations_query(const cw_feed_known& known) {
+    if (!known.evacuations_position) {
+        return {};
+    }
+    return "&evacuations_era=" + std::to_string(known.evacuations_position->era) +
+           "&evacuations=" + std::to_string(known.evacuations_position->revision);
+}
+
 std::string target_of(cw_feed_part part, const cw_feed_known& known) {
     return std::string{cw_feed_path} + "?era=" + std::to_string(known.entries_position.era) +
            "&revision=" + std::to_string(known.entries_position.revision) +
            "&config=" + std::to_string(known.config_version) +
            "&part=" + std::string{cw_feed_part_name(part)} +
-           (known.takes_deltas ? "&deltas=1" : "");
+           (known.takes_deltas ? "&deltas=1" : "") + evacuations_query(known);
 }
 
 } // namespace
--- a/Source/cw_feed_client.h
+++ b/Source/cw_feed_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 /// Data that a host already has when it asks a reader for changes.
@@ -16,6 +17,8 @@
     std::uint64_t config_version = 0;
     /// True if a newer configuration may come as deltas from that version.
     bool takes_deltas = false;
+    /// Position of the evacuated domains; none if the host does not want to know them.
+    std::optional<cw_store_position> evacuations_position = std::nullopt;
 };
 
 /// Sends requests to readers, that is, to the hosts that read the store for others. Not
--- a/Source/cw_feed_times.h
+++ b/Source/cw_feed_times.h
@@ -25,6 +25,13 @@
     /// Longest time that the store may hold a watch on the configuration open. A watch whose
     /// connection was cut cannot be distinguished from one without changes, so the wait is bounded.
     static constexpr milliseconds config_watch_wait{700};
+    /// The same for a watch on evacuations. They change rarely, and a change ends the watch at
+    /// once.
+    static constexpr milliseconds evacuation_watch_wait{1'500};
+    /// Longest time for which a host that starts waits for the evacuations before it uses
+    /// upstreams. Bounded, since a store that serves upstreams and no evacuations must not keep a
+    /// host idle.
+    static constexpr milliseconds evacuation_start_wait{3'000};
     /// Longest time for which a reader holds a request for entries open.
     static constexpr milliseconds long_poll_wait{250};
     /// Time that the transfer of the answer may take beyond `long_poll_wait`.
--- a/Source/cw_gateway.h
+++ b/Source/cw_gateway.h
@@ -107,7 +107,8 @@
                                                                 options_.cpu_capacity()},
                                                                options_.ownership,
                                                                options_.entry_return_time,
-                                                               self_.incarnation}));
+                                                               self_.incarnation,
+                                                               options_.evacuation_bound}));
     }
 
     boost::asio::awaitable<void> accept_connections() {
--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -13,12 +13,14 @@
 
 cw_gateway_control::cw_gateway_control(cw_steward_id self, cw_host_info host_info,
                                        cw_steward_options options,
-                                       std::chrono::milliseconds recovery_time, std::uint64_t seed)
+                                       std::chrono::milliseconds recovery_time, std::uint64_t seed,
+                                       std::chrono::milliseconds evacuation_bound)
     : self_{std::move(self)},
       host_info_{std::move(host_info)},
       options_{options},
       random_seed_{seed},
-      directory_{recovery_time} {}
+      directory_{recovery_time},
+      evacuations_{evacuation_bound} {}
 
 cw_control_output cw_gateway_control::decide(const cw_control_event& event, cw_boot_time now) {
     std::visit([&](const auto& input) { handle(input, now); }, event);
@@ -36,6 +38,9 @@
             requesting_successor_.erase(service);
         }
     }
+    for (auto& item : evacuations_.take_events()) {
+        events_.push_back(std::move(item));
+    }
     if (view_outdated_ || tables_changed()) {
         view_ = make_view();
         output.view = view_;
@@ -65,6 +70,10 @@
                     : std::chrono::duration_cast<std::chrono::milliseconds>(now - last_tick_);
     last_tick_ = now;
     publish_upstreams(directory_.on_tick(now), now);
+    evacuations_.on_tick(now);
+    if (evacuations_.has_unknown_name()) {
+        publish_upstreams(evacuations_.on_domains(known_domains()), now);
+    }
     for (auto& [service, steward] : stewards_) {
         steward->on_tick(now, commands_);
     }
@@ -79,6 +88,11 @@
                  config_ == nullptr ? "the first" : "after " + std::to_string(config_->version()));
     config_ = event.config;
     view_outdated_ = true;
+    if (!evacuations_.is_empty()) {
+        // Whether an upstream in an evacuated domain is listed depends on whether its service has
+        // keys.
+        upstream_lists_ = nullptr;
+    }
     for (const auto& [name, service] : config_->services()) {
         if (service.keyed) {
             add_steward(name, now);
@@ -102,11 +116,61 @@
     }
     auto steward =
         std::make_unique<cw_steward>(service, self_, options_, random_seed_ + stewards_.size());
-    steward->on_upstreams(directory_.entries(), now);
+    steward->on_upstreams(steward_entries(), now);
     steward->set_reader(is_reader());
     stewards_.emplace(service, std::move(steward));
 }
 
+void cw_gateway_control::handle(const cw_evacuations_received& event, cw_boot_time now) {
+    bool changed = evacuations_.on_domains(known_domains());
+    changed = evacuations_.on_names(event.names, event.position, event.lag, now) || changed;
+    publish_upstreams(changed, now);
+}
+
+std::set<std::string> cw_gateway_control::known_domains() const {
+    std::set<std::string> domains{host_info_.domain};
+    for (const auto& [host, info] : host_infos_) {
+        domains.insert(info.domain);
+    }
+    for (const auto& [id, entry] : directory_.entries()) {
+        domains.insert(entry.domain);
+    }
+    return domains;
+}
+
+std::map<std::string, cw_upstream_entry> cw_gateway_control::steward_entries() const {
+    auto entries = directory_.entries();
+    for (auto& [id, entry] : entries) {
+        entry.leaving = entry.leaving || evacuations_.is_evacuated(entry.domain);
+    }
+    return entries;
+}
+
+bool cw_gateway_control::is_keyed(const std::string& service) const {
+    if (config_ == nullptr) {
+        return false;
+    }
+    const auto found = config_->services().find(service);
+    return found != config_->services().end() && found->second.keyed;
+}
+
+std::set<std::string, std::less<>> cw_gateway_control::services_without_upstreams() const {
+    std::set<std::string, std::less<>> services;
+    if (evacuations_.is_empty()) {
+        return services;
+    }
+    std::set<std::string> others;
+    for (const auto& [id, entry] : directory_.entries()) {
+        if (!entry.leaving && evacuations_.is_evacuated(entry.domain)) {
+            services.insert(entry.service);
+        } else if (!entry.leaving) {
+            others.insert(entry.service);
+        }
+    }
+    std::erase_if(services, [&](const auto& service) { return others.contains(service); });
+    return services;
+}
+
 void cw_gateway_control::handle(const cw_upstreams_listed& event, cw_boot_time now) {
     store_unreachable_ = false;
     publish_upstreams(directory_.on_list(event.entries, now), now);
@@ -132,8 +196,14 @@
     }
     view_outdated_ = true;
     upstream_lists_ = nullptr;
+    if (evacuations_.has_unknown_name()) {
+        evacuations_.on_domains(known_domains());
+    }
+    const auto evacuated =
+        evacuations_.is_empty() ? std::map<std::string, cw_upstream_entry>{} : steward_entries();
+    const auto& entries = evacuations_.is_empty() ? directory_.entries() : evacuated;
     for (auto& [service, steward] : stewards_) {
-        steward->on_upstreams(directory_.entries(), now);
+        steward->on_upstreams(entries, now);
         steward->on_tick(now, commands_);
     }
 }
@@ -390,7 +460,9 @@
 std::shared_ptr<const cw_upstream_lists> cw_gateway_control::make_upstream_lists() const {
     auto lists = std::make_shared<cw_upstream_lists>();
     for (const auto& [id, entry] : directory_.entries()) {
-        if (!entry.leaving) {
+        const bool is_withheld =
+            evacuations_.is_evacuated(entry.domain) && !is_keyed(entry.service);
+        if (!entry.leaving && !is_withheld) {
             (*lists)[entry.service].push_back(entry);
         }
     }
@@ -417,8 +489,11 @@
     view->crashes = current_crash_counts();
     if (upstream_lists_ == nullptr) {
         upstream_lists_ = make_upstream_lists();
+        services_without_upstreams_ = services_without_upstreams();
     }
     view->upstreams = upstream_lists_;
+    view->evacuations = evacuations_.view();
+    view->evacuations.services_without_upstreams = services_without_upstreams_;
     for (const auto& [service, steward] : stewards_) {
         view->tables.emplace(service, current_table(service, *steward));
     }
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -2,11 +2,13 @@
 
 #include "cw_control_event.h"
 #include "cw_crash_tracker.h"
+#include "cw_evacuations.h"
 #include "cw_gateway_view.h"
 #include "cw_reader_chooser.h"
 #include "cw_steward.h"
 #include "cw_upstream_directory.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -36,9 +38,11 @@
 class cw_gateway_control {
 public:
     /// `host_info` describes this host; `recovery_time` is the grace period after a store outage in
-    /// which upstreams write their expired entries again.
+    /// which upstreams write their expired entries again. Nothing may be sent to an evacuated
+    /// failure domain after `evacuation_bound`; 0 if the deployment knows no evacuations.
     cw_gateway_control(cw_steward_id self, cw_host_info host_info, cw_steward_options options,
-                       std::chrono::milliseconds recovery_time, std::uint64_t seed);
+                       std::chrono::milliseconds recovery_time, std::uint64_t seed,
+                       std::chrono::milliseconds evacuation_bound = {});
 
     /// Handles one event and returns the actions that follow from it.
     [[nodiscard]] cw_control_output decide(const cw_control_event& event, cw_boot_time now);
@@ -46,6 +50,7 @@
 private:
     void handle(const cw_clock_tick& event, cw_boot_time now);
     void handle(const cw_config_received& event, cw_boot_time now);
+    void handle(const cw_evacuations_received& event, cw_boot_time now);
     void handle(const cw_upstreams_listed& event, cw_boot_time now);
     void handle(const cw_upstreams_changed& event, cw_boot_time now);
     void handle(const cw_store_failed& event, cw_boot_time now);
@@ -63,6 +68,14 @@
 
     /// Passes the upstreams to the stewards and the next view if they have changed.
     void publish_upstreams(bool changed, cw_boot_time now);
+    /// Failure domains of the known hosts and upstreams.
+    [[nodiscard]] std::set<std::string> known_domains() const;
+    /// The upstreams for the stewards. Those in evacuated domains count as leaving, so that their
+    /// keys move.
+    [[nodiscard]] std::map<std::string, cw_upstream_entry> steward_entries() const;
+    [[nodiscard]] bool is_keyed(const std::string& service) const;
+    /// Services all of whose upstreams are in evacuated domains.
+    [[nodiscard]] std::set<std::string, std::less<>> services_without_upstreams() const;
     /// Marks an upstream as leaving and records the event; false if nothing changed.
     bool apply_leaving(const cw_leaving_notice& leaving, std::string detail, cw_boot_time now);
     void add_steward(const std::string& service, cw_boot_time now);
@@ -98,6 +111,7 @@
     cw_steward_options options_;
     std::uint64_t random_seed_;
     cw_upstream_directory directory_;
+    cw_evacuations evacuations_;
     std::shared_ptr<const cw_site_config> config_;
     std::map<std::string, std::unique_ptr<cw_steward>> stewards_;
     /// Hosts that report to this one, with the time of their last report.
@@ -131,6 +145,8 @@
     std::shared_ptr<const cw_gateway_view> view_;
     /// Cached upstreams of the view; null when they must be rebuilt for the next view.
     std::shared_ptr<const cw_upstream_lists> upstream_lists_;
+    /// As of the same moment.
+    std::set<std::string, std::less<>> services_without_upstreams_;
     std::vector<cw_steward_command> commands_;
     std::vector<cw_timeline_event> events_;
 };
--- a/Source/cw_gateway_feed.h
+++ b/Source/cw_gateway_feed.h
@@ -5,6 +5,7 @@
 #include "cw_config_catch_up.h"
 #include "cw_config_copy.h"
 #include "cw_control_event.h"
+#include "cw_evacuation_replica.h"
 #include "cw_feed_answer.h"
 #include "cw_feed_call.h"
 #include "cw_feed_client.h"
@@ -24,6 +25,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -56,12 +59,16 @@
           changed_{context},
           selector_{std::move(self), {}, engine_()},
           entries_guard_{{}, engine_()},
-          config_guard_{{}, engine_()} {}
+          config_guard_{{}, engine_()},
+          evacuations_{options.entry_return_time} {}
 
     /// Starts the loops that receive configurations and entries and check suspected readers.
     void start() {
         spawn(follow_config());
         spawn(follow_upstreams());
+        if (knows_evacuations()) {
+            spawn(follow_evacuations());
+        }
         spawn(check_suspected_readers());
         spawn(limit_lags());
     }
@@ -101,6 +108,11 @@
         return config_lag_.take_peak(cw_boot_clock::now());
     }
 
+    /// Highest lag of the evacuated domains since the last call.
+    [[nodiscard]] std::chrono::milliseconds take_peak_evacuations_lag() {
+        return evacuations_lag_.take_peak(cw_boot_clock::now());
+    }
+
     /// Longest time since the last call by which the thread ran work of this feed later than due.
     [[nodiscard]] std::chrono::milliseconds take_peak_thread_wait() {
         return std::exchange(peak_thread_wait_, std::chrono::milliseconds{0});
@@ -115,12 +127,16 @@
         const cw_store_position known{cw_query_number(target, "era", upstreams_.position().era),
                                       cw_query_number(target, "revision", 0)};
         const auto config = cw_query_number(target, "config", 0);
+        // A host that does not name its evacuations must not be answered for their sake.
+        const cw_store_position evacuations{
+            cw_query_number(target, "evacuations_era", evacuations_.position().era),
+            cw_query_number(target, "evacuations", max_revision)};
         const auto part = cw_feed_part_from_name(cw_query_value(target, "part"));
         const auto until =
             deadline_in(part == cw_feed_part::entries ? times::long_poll_wait : milliseconds{0});
         const auto has_changes = [&] {
             return !reads_store_ || is_store_unreachable_ || upstreams_.has_changes_since(known) ||
-                   config_.version() > config;
+                   config_.version() > config || evacuations_.has_changes_since(evacuations);
         };
         while (!has_changes() && std::chrono::steady_clock::now() < until) {
             co_await changed_.wait(until);
@@ -154,6 +170,8 @@
     /// Bytes of a version besides its text, and by which it may grow.
     static constexpr std::uint64_t config_version_overhead = 32'768;
 
+    static constexpr std::uint64_t max_revision = std::numeric_limits<std::uint64_t>::max();
+
     static cw_time_point deadline_in(milliseconds time) {
         return std::chrono::steady_clock::now() + time;
     }
@@ -167,6 +185,10 @@
         answer.delta.position = upstreams_.position();
         answer.config_version = config_.version();
         answer.config_position = config_position_;
+        if (evacuations_.is_known()) {
+            answer.evacuations = evacuations_.set();
+            answer.evacuations_lag = evacuations_lag_.at(now);
+        }
         return answer;
     }
 
@@ -198,6 +220,10 @@
         if (switches_to_store) {
             upstream_watch_wait_ = milliseconds{0};
             config_watch_wait_ = milliseconds{0};
+            evacuation_watch_wait_ = milliseconds{0};
+            // A host that loses its readers continues from the set that they have sent.
+            evacuation_watch_position_ =
+                std::max(evacuation_watch_position_, evacuations_.position());
         }
         if (source != source_) {
             const auto before = std::exchange(source_, source);
@@ -381,6 +407,13 @@
         if (config_position_.is_known() && change->position.era > config_position_.era) {
             spawn(read_config_of_new_era());
         }
+        if (evacuations_.is_known() && change->position.era > evacuations_.position().era &&
+            !is_listing_evacuations_) {
+            spawn(read_evacuations_of_new_era());
+        }
+        if (!upstreams_.position().is_known()) {
+            co_await wait_for_evacuations();
+        }
         const bool has_change = !change->written.empty() || !change->removed.empty();
         apply_entries(
             {change->position, is_listing, std::move(change->written), std::move(change->removed)});
@@ -431,6 +464,125 @@
         changed_.notify_all();
     }
 
+    // -- evacuated failure domains
+
+    [[nodiscard]] bool knows_evacuations() const { return options_.evacuation_bound.count() > 0; }
+
+    /// Follows the evacuations in the store while the store is this host's source.
+    void_task follow_evacuations() {
+        while (true) {
+            if (!reads_store_) {
+                co_await cw_pause(context_, times::check_poll_interval);
+                continue;
+            }
+            bool is_answered = false;
+            if (evacuations_.is_known() && evacuation_watch_position_.is_known()) {
+                is_answered = co_await watch_evacuations();
+            } else {
+                is_answered = co_await list_evacuations();
+                // Limits the calls to a store that never has the history which a watch needs.
+                co_await jittered_pause(times::store_retry_interval);
+            }
+            if (!is_answered) {
+                evacuation_watch_wait_ = milliseconds{0};
+                co_await pause_after_failure();
+            }
+        }
+    }
+
+    /// Reads all evacuations from the store; false if that fails.
+    boost::asio::awaitable<bool> list_evacuations() {
+        is_listing_evacuations_ = true;
+        const cw_feed_call call{};
+        const auto change = co_await store_.list_evacuations(times::store_timeout);
+        is_listing_evacuations_ = false;
+        log_evacuations_call(change);
+        if (!change) {
+            co_return false;
+        }
+        evacuation_watch_position_ = std::max(evacuation_watch_position_, change->position);
+        apply_evacuations({{change->written.begin(), change->written.end()}, {}, change->position},
+                          call.sent_at());
+        co_return true;
+    }
+
+    /// Reads the evacuations of a new era of the store, without waiting for the end of a watch that
+    /// may be pending since before. If that fails, the next read of entries starts it again.
+    void_task read_evacuations_of_new_era() { static_cast<void>(co_await list_evacuations()); }
+
+    /// Waits for a change of the evacuations in the store; false if that fails.
+    boost::asio::awaitable<bool> watch_evacuations() {
+        const auto from = evacuation_watch_position_;
+        const cw_feed_call call{
+            std::exchange(evacuation_watch_wait_, times::evacuation_watch_wait)};
+        const auto change = co_await store_.watch_evacuations(from, call.wait(),
+                                                              call.deadlines(times::watch_grace));
+        log_evacuations_call(change);
+        if (!change) {
+            co_return false;
+        }
+        // A list of a new era may have set another position meanwhile.
+        if (from == evacuation_watch_position_) {
+            evacuation_watch_position_ =
+                change->is_history_gone ? cw_store_position{} : change->position;
+        }
+        if (!change->is_history_gone) {
+            const bool has_change = !change->written.empty() || !change->removed.empty();
+            on_evacuations_applied(evacuations_.apply(*change), call.current_as_of(has_change));
+        }
+        co_return true;
+    }
+
+    /// Logs what is remarkable about a call to the store for evacuations.
+    void log_evacuations_call(const cw_result<cw_evacuation_change>& change) {
+        if (are_evacuations_unreachable_ != !change) {
+            are_evacuations_unreachable_ = !change;
+            log_.info(are_evacuations_unreachable_
+                          ? "The evacuations cannot be read from the store; the known ones apply."
+                          : "The evacuations can be read from the store again.",
+                      {{"error", change ? "" : change.error().text()}});
+        }
+        if (change) {
+            for (const auto& name : change->odd) {
+                log_.warning(
+                    "An evacuation object has an unknown body. Only its name counts.",
+                    {{"name", name}, {"revision", std::to_string(change->position.revision)}});
+            }
+        }
+    }
+
+    /// Applies a complete set that is current as of the moment.
+    void apply_evacuations(const cw_evacuation_set& received, cw_boot_time current_as_of) {
+        const auto known = evacuations_.position();
+        const bool changed = evacuations_.apply(received, cw_boot_clock::now());
+        if (received.position >= known) {
+            on_evacuations_applied(changed, current_as_of);
+        }
+    }
+
+    void on_evacuations_applied(bool changed, cw_boot_time current_as_of) {
+        const auto now = cw_boot_clock::now();
+        const auto lag = evacuations_lag_.at(now);
+        evacuations_lag_.on_current_as_of(current_as_of, now);
+        if (changed) {
+            deliver_(cw_evacuations_received{evacuations_.names_in_effect(),
+                                             evacuations_.position(), lag});
+        }
+        changed_.notify_all();
+    }
+
+    /// A host that starts must not send to an evacuated domain before it knows of the evacuation.
+    void_task wait_for_evacuations() {
+        const auto until = deadline_in(times::evacuation_start_wait);
+        while (knows_evacuations() && !evacuations_.is_known() && reads_store_ &&
+               std::chrono::steady_clock::now() < until) {
+            co_await changed_.wait(until);
+        }
+        if (knows_evacuations() && !evacuations_.is_known()) {
+            log_.warning("Upstreams are used although no evacuations are known.", {});
+        }
+    }
+
     // -- reads that bound the lags
 
     /// Reads what lags too far from the store, whatever the other loops wait for, unless a loop has
@@ -439,6 +591,9 @@
         while (true) {
             report_known_config();
             const auto now = cw_boot_clock::now();
+            if (evacuations_.on_tick(now)) {
+                on_evacuations_applied(true, evacuations_lag_.current_as_of());
+            }
             const auto entries_lag = entries_lag_.at(now);
             const auto config_lag = config_lag_.at(now);
             if (entries_lag != cw_replication_lag::unknown &&
@@ -524,8 +679,11 @@
     boost::asio::awaitable<cw_result<cw_feed_answer>>
     request_feed(const std::string& reader, cw_feed_part part, milliseconds timeout) {
         const auto config_version = std::max(config_.version(), named_config_version_);
-        return client_.request(reader, part, {upstreams_.position(), config_version, false},
-                               timeout);
+        return client_.request(
+            reader, part,
+            {upstreams_.position(), config_version, false,
+             knows_evacuations() ? std::optional{evacuations_.position()} : std::nullopt},
+            timeout);
     }
 
     /// Sends a request to a reader and passes the outcome to the reader selection.
@@ -694,6 +852,10 @@
         last_store_response_ = now - answer.status.store_age;
         const auto entries_current_as_of = answer.made_at() - answer.status.entries_lag;
         note_config_lag(answer);
+        // Before the entries: a host that starts may use these as soon as it knows them.
+        if (answer.evacuations && knows_evacuations()) {
+            apply_evacuations(*answer.evacuations, answer.made_at() - answer.evacuations_lag);
+        }
         if (answer.delta.position.era == 0) {
             // The reader runs an earlier release, which does not send the era.
             answer.delta.position.era = upstreams_.position().era;
@@ -767,4 +929,14 @@
     cw_boot_time config_transfer_started_at_{};
     /// False if the next transfer from a reader has to bring the whole configuration.
     bool takes_config_deltas_ = true;
+
+    cw_evacuation_replica evacuations_;
+    cw_replication_lag evacuations_lag_;
+    /// Position from which the next watch on evacuations starts; none lists them instead.
+    cw_store_position evacuation_watch_position_;
+    /// Wait of the next watch on evacuations.
+    milliseconds evacuation_watch_wait_{times::evacuation_watch_wait};
+    bool is_listing_evacuations_ = false;
+    /// True while calls for the evacuations fail.
+    bool are_evacuations_unreachable_ = false;
 };
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -113,6 +113,13 @@
         metrics.set_gauge("store_age_seconds", age(state.last_store_response));
         metrics.set_gauge("feed_entries_lag_peak_seconds", seconds(feed_.take_peak_entries_lag()));
         metrics.set_gauge("feed_config_lag_peak_seconds", seconds(feed_.take_peak_config_lag()));
+        if (options_.evacuation_bound.count() > 0) {
+            metrics.set_gauge("feed_evacuations_lag_peak_seconds",
+                              seconds(feed_.take_peak_evacuations_lag()));
+            metrics.set_gauge(
+                "evacuated_domains",
+                view_ == nullptr ? 0.0 : static_cast<double>(view_->evacuations.evacuated.size()));
+        }
         metrics.set_gauge("control_thread_wait_peak_seconds",
                           seconds(feed_.take_peak_thread_wait()));
         metrics.set_gauge("key_table_lag_peak_seconds", seconds(sync_.take_peak_table_lag()));
--- a/Source/cw_gateway_upstream_selector.cpp
+++ b/Source/cw_gateway_upstream_selector.cpp
@@ -22,6 +22,8 @@
 /// Acceptable expected time to an answer, as a fraction of the route's target time: one half.
 constexpr int acceptable_time_numerator = 1;
 constexpr int acceptable_time_denominator = 2;
+/// Evacuations last for minutes, but not every caller has another host to go to.
+constexpr milliseconds retry_after_evacuation{1'000};
 constexpr const char* owner_sheds_reason =
     "the owner closes connections or sends answers without end";
 
@@ -44,6 +46,11 @@
         current.reason = "the service is not configured";
         co_return false;
     }
+    if (current.view->evacuations.has_no_upstream_left(current.service)) {
+        refuse_for_evacuation(current,
+                              "all upstreams of the service are in evacuated failure domains");
+        co_return false;
+    }
     if (service->second.keyed) {
         if (!current.metadata.key || *current.metadata.key > cw_last_key) {
             current.reason = "the request names no key";
@@ -58,6 +65,13 @@
     co_return accepts_request(current);
 }
 
+void cw_gateway_upstream_selector::refuse_for_evacuation(cw_gateway_exchange& current,
+                                                         const char* reason) {
+    traffic_.metrics().increment("evacuation_refused_requests");
+    current.reason = reason;
+    current.retry_after = retry_after_evacuation;
+}
+
 bool cw_gateway_upstream_selector::select_any(cw_gateway_exchange& current) {
     const auto service_upstreams = current.view->upstreams->find(current.service);
     cw_selection_criteria criteria{traffic_.domain(),
@@ -91,6 +105,7 @@
 const cw_upstream_entry*
 cw_gateway_upstream_selector::find_settled_owner(cw_gateway_exchange& current) {
     current.view = traffic_.view();
+    is_owner_evacuated_ = false;
     const auto table = current.view->tables.find(current.service);
     if (table == current.view->tables.end()) {
         return nullptr;
@@ -108,6 +123,10 @@
     if (found == service_upstreams->second.end()) {
         return nullptr;
     }
+    if (!current.view->evacuations.allows_keyed(found->domain, cw_boot_clock::now())) {
+        is_owner_evacuated_ = true;
+        return nullptr;
+    }
     current.fence = range.fence;
     return &*found;
 }
@@ -129,7 +148,12 @@
             }
             co_return true;
         }
-        if (now() >= until || watch_.has_caller_left()) {
+        const bool is_over = now() >= until;
+        if (is_over && is_owner_evacuated_) {
+            refuse_for_evacuation(current, "the key's owner is in an evacuated failure domain");
+            co_return false;
+        }
+        if (is_over || watch_.has_caller_left()) {
             current.reason = must_wait ? owner_sheds_reason : "the key has no settled owner";
             current.retry_after = retry_after_move;
             if (cold_delay.count() > 0 && !watch_.has_caller_left()) {
--- a/Source/cw_gateway_upstream_selector.h
+++ b/Source/cw_gateway_upstream_selector.h
@@ -33,9 +33,13 @@
 
     /// Selects an upstream of a service without keys.
     bool select_any(cw_gateway_exchange& current);
+    /// Sets the reason and the retry-after time of a request that is refused because of an
+    /// evacuation.
+    void refuse_for_evacuation(cw_gateway_exchange& current, const char* reason);
     /// Refreshes the exchange's view and returns the settled owner of the request's key, whose
-    /// fence it sets in the exchange. Null when the key is moving, the owner is not listed, or it
-    /// has refused this request as not its own under the same fence.
+    /// fence it sets in the exchange. Null when the key is moving, the owner is not listed or is in
+    /// an evacuated failure domain, or it has refused this request as not its own under the same
+    /// fence.
     const cw_upstream_entry* find_settled_owner(cw_gateway_exchange& current);
     /// Sets the owner of the request's key as the upstream, waiting for a settled one, and for one
     /// that is cold to admit the request. Returns false when there is none in time or the caller
@@ -68,4 +72,6 @@
 
     cw_gateway_traffic& traffic_;
     cw_call_watch& watch_;
+    /// True if find_settled_owner() has passed over an owner because of an evacuation.
+    bool is_owner_evacuated_ = false;
 };
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_crash_counts.h"
+#include "cw_evacuation_view.h"
 #include "cw_key_table.h"
 #include "cw_reader_ranking.h"
 #include "cw_site_config.h"
@@ -20,8 +21,8 @@
 struct cw_gateway_view {
     /// Null until a configuration is known.
     std::shared_ptr<const cw_site_config> config;
-    /// Upstreams that are not leaving, by service; never null. Views share one object as long as it
-    /// has not changed.
+    /// Upstreams that are not leaving, by service; without those in evacuated failure domains if
+    /// the service has no keys. Never null. Views share one object as long as it has not changed.
     std::shared_ptr<const cw_upstream_lists> upstreams = std::make_shared<cw_upstream_lists>();
     /// Key tables by service.
     std::map<std::string, std::shared_ptr<const cw_key_table>> tables;
@@ -35,6 +36,8 @@
     /// Services of which this host is the steward and requests a successor, because the store does
     /// not answer it.
     std::set<std::string> requesting_successor;
+    /// Evacuated failure domains, and those that returned to service a moment ago.
+    cw_evacuation_view evacuations;
     /// True once a stop of the process was requested.
     bool stopping = false;
 };
--- a/Tests/Gateway/cw_feed_fixture.cpp
+++ b/Tests/Gateway/cw_feed_fixture.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint16_t reader_link_port = 27'983;
 /// Time after an outage within which expired entries are written again.
 constexpr auto entry_return_time = 2'500ms;
+/// Bound of evacuations; without effect while the feeds do not deliver any.
+constexpr auto evacuation_bound = 5s;
 
 cw_address address_of(std::uint16_t port) {
     return {boost::asio::ip::address_v4::loopback(), port};
@@ -29,7 +31,12 @@
       store{http, store_address, [](const cw_error&, std::uint64_t) {}},
       feed{context, options, store, std::move(self),
            [this](const cw_control_event& event) { receive(event); }},
-      control{{"host", 1, "127.0.0.1:1"}, {"z", "127.0.0.1:1", 1.0}, {}, entry_return_time, 1} {}
+      control{{"host", 1, "127.0.0.1:1"},
+              {"z", "127.0.0.1:1", 1.0},
+              {},
+              entry_return_time,
+              1,
+              evacuation_bound} {}
 
 void cw_feed_fixture::host::write(const std::vector<cw_upstream_entry>& written) {
     for (const auto& entry : written) {
@@ -46,7 +53,14 @@
 
 void cw_feed_fixture::host::receive(const cw_control_event& event) {
     const auto output = control.decide(event, cw_boot_clock::now());
-    view = output.view == nullptr ? view : output.view;
+    if (output.view != nullptr) {
+        view = output.view;
+        if (const auto list = view->upstreams->find("gallery"); list != view->upstreams->end()) {
+            for (const auto& entry : list->second) {
+                ever_listed.insert(entry.id);
+            }
+        }
+    }
     if (const auto* config = std::get_if<cw_config_received>(&event)) {
         versions.insert(config->config->version());
     } else if (const auto* listed = std::get_if<cw_upstreams_listed>(&event)) {
@@ -113,3 +127,12 @@
         store.put("other", "thing", {{"number", i}});
     }
 }
+
+void cw_feed_fixture::put_evacuation(const std::string& domain) {
+    store.put("evacuations", domain, nullptr);
+}
+
+void cw_feed_fixture::set_evacuation_bound(std::chrono::milliseconds bound) {
+    reader.options.evacuation_bound = bound;
+    follower.options.evacuation_bound = bound;
+}
--- a/Tests/Gateway/cw_feed_fixture.h
+++ b/Tests/Gateway/cw_feed_fixture.h
@@ -27,10 +27,15 @@
         cw_gateway_feed<cw_platform> feed;
         cw_gateway_control control;
         std::shared_ptr<const cw_gateway_view> view;
+        /// Upstreams of the service "gallery" that any view has listed.
+        std::set<std::string> ever_listed;
 
         void receive(const cw_control_event& event);
         /// True if requests may be sent to the upstream.
         [[nodiscard]] bool uses(const std::string& id) const;
+        [[nodiscard]] bool is_evacuated(const std::string& domain) const {
+            return view != nullptr && view->evacuations.is_evacuated(domain);
+        }
 
     private:
         void write(const std::vector<cw_upstream_entry>& written);
@@ -44,6 +49,9 @@
     void run_for(std::chrono::milliseconds length);
     void put_config(std::uint64_t version);
     void put_upstream(const std::string& id, const std::string& state);
+    void put_evacuation(const std::string& domain);
+    /// Sets the bound of evacuations at both hosts; 0 as in a deployment that has none.
+    void set_evacuation_bound(std::chrono::milliseconds bound);
     /// Raises the store's revision by writes that concern no gateway.
     void raise_revision(int count);
 
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -135,6 +135,24 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_fixture::set_domain(std::size_t index, const std::string& domain) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    auto lists = *view->upstreams;
+    for (auto& [service, upstreams] : lists) {
+        upstreams.at(index).domain = domain;
+    }
+    view->upstreams = std::make_shared<const cw_upstream_lists>(std::move(lists));
+    view_ = view;
+    traffic_.publish(view);
+}
+
+void cw_gateway_fixture::set_evacuations(cw_evacuation_view evacuations) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->evacuations = std::move(evacuations);
+    view_ = view;
+    traffic_.publish(view);
+}
+
 void cw_gateway_fixture::set_config(std::uint64_t version) {
     auto view = std::make_shared<cw_gateway_view>(*view_);
     view->config = make_config(version);
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -51,6 +51,10 @@
     void set_host_count(std::uint32_t hosts) {
         traffic_.limits().apply(hosts, {}, cw_boot_clock::now());
     }
+    /// Replaces the failure domain of an upstream.
+    void set_domain(std::size_t index, const std::string& domain);
+    /// Publishes a view with the given evacuated failure domains.
+    void set_evacuations(cw_evacuation_view evacuations);
     /// Publishes a view without a configuration, as before the first read from the store.
     void clear_config();
     /// Publishes a view with the same configuration under another version.
--- a/Tests/Gateway/cw_platform_standin.cpp
+++ b/Tests/Gateway/cw_platform_standin.cpp
@@ -190,19 +190,21 @@
 
 net::awaitable<cw_http_response> cw_platform_standin::serve_call(cw_http_request request) {
     ++calls_;
-    if (down_) {
-        co_await cw_pause(context_, no_answer_time);
-        co_return cw_make_response(http::status::service_unavailable, "{}");
-    }
-    if (delay_ > 0ms) {
-        co_await cw_pause(context_, delay_);
-    }
     const std::string target{request.target().data(), request.target().size()};
     const auto path = cw_target_path(target);
     const auto object_path = std::string{path.substr(std::min(objects_path.size(), path.size()))};
     const auto slash = object_path.find('/');
     const auto kind = object_path.substr(0, slash);
     const auto name = slash == std::string::npos ? std::string{} : object_path.substr(slash + 1);
+    ++calls_by_kind_[kind];
+    if (down_) {
+        co_await cw_pause(context_, no_answer_time);
+        co_return cw_make_response(http::status::service_unavailable, "{}");
+    }
+    const auto delay = delay_ + kind_delays_[kind];
+    if (delay > 0ms) {
+        co_await cw_pause(context_, delay);
+    }
     if (request.method() != http::verb::get) {
         auto answer = handle_write(kind, name, request);
         if (std::uniform_real_distribution<>{}(engine_) < lost_answers_) {
--- a/Tests/Gateway/cw_platform_standin.h
+++ b/Tests/Gateway/cw_platform_standin.h
@@ -51,6 +51,10 @@
     }
     /// Sets the delay of each answer.
     void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+    /// Sets an additional delay of answers that concern a kind.
+    void set_delay_of(const std::string& kind, std::chrono::milliseconds delay) {
+        kind_delays_[kind] = delay;
+    }
     /// Sets the share (0 to 1) of the writes that are applied but not answered.
     void set_lost_answers(double share) { lost_answers_ = share; }
     /// Sets the number of changes that are kept for watches.
@@ -65,6 +69,11 @@
     void come_back_from(copy older);
     /// Number of calls received.
     [[nodiscard]] std::size_t calls() const { return calls_; }
+    /// Number of calls received that concern a kind.
+    [[nodiscard]] std::size_t calls_of(const std::string& kind) const {
+        const auto found = calls_by_kind_.find(kind);
+        return found == calls_by_kind_.end() ? 0 : found->second;
+    }
 
 private:
     boost::asio::awaitable<cw_http_response> serve(cw_http_request request);
@@ -94,5 +103,7 @@
     std::chrono::milliseconds delay_{0};
     double lost_answers_ = 0.0;
     std::size_t calls_ = 0;
+    std::map<std::string, std::size_t> calls_by_kind_;
+    std::map<std::string, std::chrono::milliseconds> kind_delays_;
     std::minstd_rand engine_{7};
 };
