--- a/Source/cw_json_members.cpp
+++ b/Source/cw_json_members.cpp
@@ -34,6 +34,31 @@
     return value;
 }
 
+cw_result<cw_json_list> cw_parse_json_list(const char* step, const std::string& peer,
+                                           const cw_result<cw_http_response>& response,
+                                           const char* array_name,
+                                           std::string (*name_of)(std::string_view)) {
+    auto answer = cw_parse_json_response(step, peer, response);
+    if (answer || !response || response->result() != boost::beast::http::status::ok) {
+        return answer ? cw_result<cw_json_list>{cw_json_list{std::move(*answer), {}}}
+                      : tl::unexpected(answer.error());
+    }
+    const auto split = cw_split_json_array(response->body(), array_name);
+    cw_json_list list{split ? cw_parse_json(split->object) : json(), {}};
+    if (!list.answer.is_object()) {
+        return tl::unexpected(answer.error());
+    }
+    for (const auto& text : split->elements) {
+        auto element = cw_parse_json(text);
+        if (element.is_discarded()) {
+            list.unreadable.push_back(name_of(text));
+        } else {
+            list.answer[array_name].push_back(std::move(element));
+        }
+    }
+    return list;
+}
+
 const json& cw_json_member(const json& object, const char* name) {
     static const json null_value;
     const auto found = object.find(name);
--- a/Source/cw_json_members.h
+++ b/Source/cw_json_members.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Reads JSON that another program has written, and that may be malformed in any way.
 
@@ -17,7 +18,21 @@
 cw_parse_json_response(const char* step, const std::string& peer,
                        const cw_result<cw_http_response>& response);
 
-/// A member of an object; a JSON null when there is none.
+/// A list in a response, of which some elements could not be parsed.
+struct cw_json_list {
+    /// The response's object; its array holds the elements that could be parsed.
+    nlohmann::json answer;
+    /// Names of the others.
+    std::vector<std::string> unreadable;
+};
+/// Like cw_parse_json_response(), but an element of the array that cannot be parsed does not
+/// prevent the others from being parsed. `name_of` finds a name in the text of such an element.
+[[nodiscard]] cw_result<cw_json_list>
+cw_parse_json_list(const char* step, const std::string& peer,
+                   const cw_result<cw_http_response>& response, const char* array_name,
+                   std::string (*name_of)(std::string_view));
+
+/// A member of an object; a JSON null when there is none, or when the value is no object.
 [[nodiscard]] const nlohmann::json& cw_json_member(const nlohmann::json& object, const char* name);
 /// An unsigned number in an object; 0 when there is none.
 [[nodiscard]] std::uint64_t cw_json_number(const nlohmann::json& object, const char* name);
