Treat upstreams of a domain that has just returned to service as cold

Entries may arrive later than the end of an evacuation, so an upstream that became cold meanwhile was sent requests like a warm one for up to the lag of the host's copy.

--- a/Source/cw_cold_start_limits.cpp
+++ b/Source/cw_cold_start_limits.cpp
@@ -9,6 +9,14 @@
     return upstream.service + "/" + upstream.id + "#" + std::to_string(upstream.incarnation);
 }
 
+/// When the upstream is warm. The entry of one whose domain has just returned to service may not
+/// yet state that it is cold.
+cw_boot_time warm_at(const cw_upstream_entry& upstream, const cw_gateway_view& view) {
+    const auto& returned = view.evacuations.returned;
+    const auto found = returned.find(upstream.domain);
+    return found == returned.end() ? upstream.warm_at : std::max(upstream.warm_at, found->second);
+}
+
 /// One host's part of a rate; 0 if the number of hosts is unknown.
 double rate_per_host(double rate, std::uint32_t hosts) {
     return hosts == 0 ? 0.0 : rate / hosts;
@@ -29,7 +37,7 @@
             target_rates_[name] = rate;
             if (const auto list = view.upstreams->find(name); list != view.upstreams->end()) {
                 for (const auto& upstream : list->second) {
-                    keep_if_cold(upstream, rate, kept, draw, now);
+                    keep_if_cold(upstream, warm_at(upstream, view), rate, kept, draw, now);
                 }
             }
         }
@@ -42,28 +50,25 @@
     upstreams_ = std::move(kept);
 }
 
-void cw_cold_start_limits::keep_if_cold(const cw_upstream_entry& upstream, double rate,
-                                        upstream_map& kept, const std::function<double()>& draw,
-                                        cw_boot_time now) {
+void cw_cold_start_limits::keep_if_cold(const cw_upstream_entry& upstream, cw_boot_time warm_at,
+                                        double rate, upstream_map& kept,
+                                        const std::function<double()>& draw, cw_boot_time now) {
     const auto known = upstreams_.empty() ? upstreams_.end() : upstreams_.find(key_of(upstream));
     const auto refused_until =
         known == upstreams_.end() ? cw_boot_time{} : known->second.refused_until;
-    if (now >= std::max(upstream.warm_at, refused_until)) {
+    if (now >= std::max(warm_at, refused_until)) {
         return;
     }
     if (known != upstreams_.end()) {
         auto& state = kept.emplace(known->first, known->second).first->second;
         state.rate = rate;
-        state.warm_at = upstream.warm_at;
+        state.warm_at = warm_at;
         return;
     }
-    const auto added =
-        kept.emplace(key_of(upstream), cold_upstream{upstream.id,
-                                                     upstream.service,
-                                                     rate,
-                                                     cw_cold_start_limit{draw(), now},
-                                                     upstream.warm_at,
-                                                     {}});
+    const auto added = kept.emplace(
+        key_of(upstream),
+        cold_upstream{
+            upstream.id, upstream.service, rate, cw_cold_start_limit{draw(), now}, warm_at, {}});
     record_change(added.first->second, true);
 }
 
--- a/Source/cw_cold_start_limits.h
+++ b/Source/cw_cold_start_limits.h
@@ -15,9 +15,9 @@
 
 /// The upstreams that this host treats as cold and limits, with its token bucket for each.
 ///
-/// An upstream is cold until the end of the warm-up that its entry states, and for `refused_time`
-/// after a refused connect. Only services with a cold rate have a limit. Upstreams that are not
-/// listed or not cold any more are dropped.
+/// An upstream is cold until the end of the warm-up that its entry states, for `refused_time` after
+/// a refused connect, and while its failure domain has just returned to service. Only services with
+/// a cold rate have a limit. Upstreams that are not listed or not cold any more are dropped.
 class cw_cold_start_limits {
 public:
     /// An upstream that is treated as cold from now on, or no longer.
@@ -85,9 +85,10 @@
 
     /// The state of an upstream that is cold now; null if it is not.
     cold_upstream* find_cold(const cw_upstream_entry& upstream, cw_boot_time now);
-    /// Keeps the state of a listed upstream in `kept` if it is cold, or creates it there.
-    void keep_if_cold(const cw_upstream_entry& upstream, double rate, upstream_map& kept,
-                      const std::function<double()>& draw, cw_boot_time now);
+    /// Keeps the state of a listed upstream in `kept` if it is cold until `warm_at` or because of a
+    /// refused connect, or creates it there.
+    void keep_if_cold(const cw_upstream_entry& upstream, cw_boot_time warm_at, double rate,
+                      upstream_map& kept, const std::function<double()>& draw, cw_boot_time now);
     void record_change(const cold_upstream& upstream, bool is_cold);
 
     double overage_;
--- a/Tests/Gateway/cw_cold_limit_test.cpp
+++ b/Tests/Gateway/cw_cold_limit_test.cpp
@@ -285,6 +285,18 @@
     CHECK(limits.is_empty());
 }
 
+// The entries of a domain that returns to service may arrive later than the end of its evacuation.
+TEST_CASE_FIXTURE(cold_limits, "upstream_whose_domain_has_just_returned_is_treated_as_cold") {
+    auto warm = entry("u", 0s);
+    warm.domain = "east";
+    auto view = make_view({warm});
+    view.evacuations.returned["east"] = start + 1'500ms;
+    apply(view);
+    CHECK(changes() == names{"u"});
+    CHECK_FALSE(limits.admits(warm, 71, start + 1'499ms));
+    CHECK(limits.admits(warm, 71, start + 1'500ms));
+}
+
 TEST_CASE_FIXTURE(cold_limits, "service_without_a_cold_rate_has_no_limit") {
     const auto cold = entry("u", 60s);
     apply(make_view({cold}, 0.0));
