Apply the slow start of upstreams in the gateway

Cause: the gateway's traffic has to give the ramps their inputs: the lists of upstreams, the configuration and the results of the attempts.

Change: cw_gateway_traffic holds the ramps, drops them with unlisted incarnations and logs starts and ends; the selector passes them to the selection for services without keys that have a cold time; the attempt reports results. Metrics ramping_upstreams and ramp_skipped.

--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -91,6 +91,7 @@
                        std::chrono::nanoseconds latency) {
         auto& stats = upstream_stats(exchange);
         const auto boot_now = cw_boot_clock::now();
+        record_ramp_response(exchange, result, boot_now - latency, stats.awaits_recovery());
         switch (result) {
         case cw_attempt_result::answered:
             record_speed(exchange, stats.on_answer(latency, reported_load_, boot_now), boot_now);
@@ -114,6 +115,23 @@
         }
     }
 
+    /// Records what the attempt says about the slow start of the upstream.
+    void record_ramp_response(const cw_gateway_exchange& exchange, cw_attempt_result result,
+                              cw_boot_time sent_at, bool awaits_recovery) {
+        const bool is_answered = result == cw_attempt_result::answered;
+        // Neither says anything about the upstream's capacity.
+        const bool is_ignored = result == cw_attempt_result::refused_not_owner ||
+                                result == cw_attempt_result::caller_left;
+        if (!is_ignored) {
+            const bool is_success =
+                is_answered && boost::beast::http::to_status_class(exchange.answer.result()) !=
+                                   boost::beast::http::status_class::server_error;
+            traffic_.record_ramp_response(exchange.upstream,
+                                          {sent_at, is_success, reported_load_, std::nullopt},
+                                          is_answered && awaits_recovery);
+        }
+    }
+
     /// True when the upstream closed the connection before the first byte of an answer, and not
     /// because the connection was idle. This is how an overloaded upstream sheds requests.
     [[nodiscard]] bool was_shed(cw_attempt_result result, std::chrono::nanoseconds latency) const {
--- a/Source/cw_gateway_io.h
+++ b/Source/cw_gateway_io.h
@@ -136,6 +136,8 @@
         metrics.set_gauge("feed_revision", static_cast<double>(state.position.revision));
         metrics.set_gauge("feed_polls_unanswered", static_cast<double>(state.unanswered_polls));
         metrics.set_gauge("limited_upstreams", static_cast<double>(traffic_.limits().size()));
+        traffic_.update_ramps();
+        metrics.set_gauge("ramping_upstreams", static_cast<double>(traffic_.ramping_upstreams()));
         metrics.set_gauge("config_version", static_cast<double>(state.config_version));
         metrics.set_gauge("config_age_seconds", age(state.config_received_at));
         metrics.set_gauge("config_in_force_version",
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -2,6 +2,8 @@
 
 #include "cw_call_watch.h"
 #include "cw_gateway_options.h"
+#include "cw_select_upstream.h"
+#include "cw_usual_service_time.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -134,6 +136,13 @@
             view, [this] { return random_share(); }, cw_boot_clock::now());
         report_cold_upstreams();
     }
+    if (view.config != view_->config) {
+        ramps_.set_config(view.config.get());
+    }
+    if (view.upstreams != view_->upstreams) {
+        ramps_.apply(*view_->upstreams, *view.upstreams, cw_boot_clock::now());
+    }
+    record_ramp_changes();
     if (view.upstreams == view_->upstreams) {
         return;
     }
@@ -222,6 +231,65 @@
     });
 }
 
+void cw_gateway_traffic::apply_ramps(const std::string& service, cw_selection_criteria& criteria) {
+    if (ramps_.covers(service)) {
+        if (!ramps_.is_empty()) {
+            ramps_.drop_ended(cw_boot_clock::now());
+            record_ramp_changes();
+        }
+        criteria.ramps = &ramps_;
+        criteria.draw = [this] { return random_share(); };
+    }
+}
+
+void cw_gateway_traffic::record_ramp_response(const cw_upstream_entry& upstream,
+                                              cw_ramp_response response, bool is_recovery) {
+    if (!ramps_.covers(upstream.service)) {
+        return;
+    }
+    const auto now = cw_boot_clock::now();
+    if (is_recovery) {
+        ramps_.on_recovery(upstream, now);
+    } else if (ramps_.find(upstream, now) != nullptr) {
+        if (const auto service = view_->upstreams->find(upstream.service);
+            service != view_->upstreams->end()) {
+            response.usual_time = cw_usual_service_time(
+                service->second,
+                upstream, [this](const auto& entry) -> const auto& { return stats(entry); });
+        }
+        ramps_.on_response(upstream, response, now);
+    }
+    record_ramp_changes();
+}
+
+void cw_gateway_traffic::update_ramps() {
+    net::post(context_, [this] {
+        ramps_.drop_ended(cw_boot_clock::now());
+        record_ramp_changes();
+    });
+}
+
+void cw_gateway_traffic::record_ramp_changes() {
+    ramping_upstreams_ = ramps_.size();
+    if (const auto skipped = ramps_.take_skipped(); skipped > 0) {
+        metrics_.increment("ramp_skipped", skipped);
+    }
+    for (const auto& change : ramps_.take_changes()) {
+        const bool has_started = change.why == cw_upstream_ramp::reason::started;
+        const auto duration =
+            std::chrono::duration_cast<std::chrono::milliseconds>(change.duration);
+        log_.info(change.is_end ? "The slow start of an upstream has ended."
+                                : "The slow start of an upstream has begun.",
+                  {{"upstream", change.id},
+                   {"service", change.service},
+                   {"reason", has_started ? "started" : "recovered"},
+                   {"share", std::to_string(change.share)},
+                   {"good", std::to_string(change.good_responses)},
+                   {"bad", std::to_string(change.bad_responses)},
+                   {"ms", std::to_string(duration.count())}});
+    }
+}
+
 cw_retry_budget& cw_gateway_traffic::retry_budget(const std::string& service) {
     const double reserve = host_count_ == 0 ? 0.0 : retry_slack_ * used_budget_share / host_count_;
     return retry_budgets_
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -15,6 +15,7 @@
 #include "cw_log.h"
 #include "cw_retry_budget.h"
 #include "cw_time.h"
+#include "cw_upstream_ramps.h"
 #include "cw_upstream_speeds.h"
 #include "cw_upstream_stats.h"
 
@@ -37,6 +38,7 @@
 
 class cw_call_watch;
 struct cw_gateway_options;
+struct cw_selection_criteria;
 
 /// State shared by all callers' sessions of a gateway: traffic means the callers' requests, as
 /// opposed to the control of key ownership.
@@ -114,6 +116,20 @@
     /// A connect to the upstream was refused, so it may be starting again.
     void on_connect_refused(const cw_upstream_entry& upstream);
 
+    /// Slow start of upstreams.
+    [[nodiscard]] cw_upstream_ramps& ramps() { return ramps_; }
+    /// Lets the slow start of the service's upstreams, if it has one, take part in a selection.
+    void apply_ramps(const std::string& service, cw_selection_criteria& criteria);
+    /// Records what a response says about the slow start of the upstream, and logs a change.
+    /// `is_recovery` is true for the first response since the upstream was avoided after failures.
+    void record_ramp_response(const cw_upstream_entry& upstream, cw_ramp_response response,
+                              bool is_recovery);
+    /// Ends the ramps that have become complete by time alone, logs them and counts the selections
+    /// that passed over an upstream. Safe to call from any thread; takes effect a moment later.
+    void update_ramps();
+    /// Number of upstreams in their slow start. Safe to call from any thread.
+    [[nodiscard]] std::size_t ramping_upstreams() const { return ramping_upstreams_; }
+
     /// Sets the retry budget of all hosts together: `share` is the number of retries per request,
     /// `slack` the number of tokens that may be saved up. Safe to call from any thread.
     void set_retry_budget(double share, double slack);
@@ -153,6 +169,8 @@
     /// Logs which upstreams are treated as cold from now on, or no longer, and sets the timer for
     /// the next end of a warm-up.
     void report_cold_upstreams();
+    /// Logs the starts and ends of ramps since the last call, and updates their metrics.
+    void record_ramp_changes();
     /// Logs that a configuration is in force in traffic since now, and records how long the view
     /// has waited since `published_at`.
     void record_view_wait(const cw_gateway_view& view, cw_time_point published_at);
@@ -181,6 +199,8 @@
     cw_config_in_force config_in_force_;
     std::atomic<std::chrono::nanoseconds> peak_view_wait_{std::chrono::nanoseconds{0}};
     std::unordered_map<std::string, cw_upstream_stats> stats_;
+    cw_upstream_ramps ramps_;
+    std::atomic<std::size_t> ramping_upstreams_{0};
     std::map<std::string, cw_retry_budget> retry_budgets_;
     std::uint32_t host_count_ = 0;
     std::atomic<cw_time_point> answers_until_{cw_time_point::max()};
--- a/Source/cw_gateway_upstream_selector.cpp
+++ b/Source/cw_gateway_upstream_selector.cpp
@@ -83,6 +83,7 @@
             return traffic_.admits_if_cold(entry) && is_admitted(entry);
         };
     }
+    traffic_.apply_ramps(current.service, criteria);
     const auto* chosen =
         service_upstreams == current.view->upstreams->end()
             ? nullptr
--- a/Tests/Gateway/cw_gateway_fixture.cpp
+++ b/Tests/Gateway/cw_gateway_fixture.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <future>
 #include <stdexcept>
 
 namespace net = boost::asio;
@@ -29,7 +30,8 @@
 
 /// The configuration of the fixture; `removed` names a route that it lacks.
 std::shared_ptr<const cw_site_config> make_config(std::uint64_t version, double cold_rate = 0.0,
-                                                  const std::string& removed = {}) {
+                                                  const std::string& removed = {},
+                                                  std::chrono::milliseconds cold_start = 0ms) {
     cw_caller_limits limits;
     limits.max_header_bytes = 4'096;
     limits.max_body_bytes = 10'000;
@@ -42,10 +44,11 @@
     std::vector<cw_site_route> routes{route("safe", true), route("order", false),
                                       route("key", true), long_route};
     std::erase_if(routes, [&](const auto& each) { return each.name == removed; });
-    auto config = cw_site_config::make(version, limits, std::move(routes),
-                                       {{.name = "safe", .cold_rate = cold_rate},
-                                        {.name = "order", .cold_rate = cold_rate},
-                                        {.name = "key", .keyed = true, .cold_rate = cold_rate}});
+    auto config =
+        cw_site_config::make(version, limits, std::move(routes),
+                             {{.name = "safe", .cold_rate = cold_rate, .cold_start = cold_start},
+                              {.name = "order", .cold_rate = cold_rate},
+                              {.name = "key", .keyed = true, .cold_rate = cold_rate}});
     if (!config) {
         throw std::logic_error(config.error().text());
     }
@@ -185,6 +188,32 @@
     traffic_.publish(view);
 }
 
+void cw_gateway_fixture::set_cold_start(std::chrono::milliseconds cold_start) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    view->config = make_config(view_->config->version() + 1, 0.0, {}, cold_start);
+    view_ = view;
+    traffic_.publish(view);
+}
+
+void cw_gateway_fixture::start_again(std::size_t index) {
+    auto view = std::make_shared<cw_gateway_view>(*view_);
+    auto lists = *view->upstreams;
+    for (auto& [service, upstreams] : lists) {
+        ++upstreams.at(index).incarnation;
+    }
+    view->upstreams = std::make_shared<const cw_upstream_lists>(std::move(lists));
+    view_ = view;
+    traffic_.publish(view);
+}
+
+std::size_t cw_gateway_fixture::ramping_upstreams() {
+    traffic_.update_ramps();
+    std::promise<void> updated;
+    net::post(traffic_.context(), [&updated] { updated.set_value(); });
+    updated.get_future().wait();
+    return traffic_.ramping_upstreams();
+}
+
 void cw_gateway_fixture::block_traffic(std::chrono::milliseconds duration) {
     net::post(traffic_.context(), [duration] { std::this_thread::sleep_for(duration); });
 }
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -63,6 +63,13 @@
     void remove_route(const std::string& name, std::uint64_t version);
     /// Requests that have no answer yet.
     [[nodiscard]] std::uint64_t open_requests() const { return traffic_.open_requests; }
+    /// Publishes a configuration in which upstreams of the service "safe" are cold for the given
+    /// time after their start.
+    void set_cold_start(std::chrono::milliseconds cold_start);
+    /// Publishes a view with a new incarnation of the upstream.
+    void start_again(std::size_t index);
+    /// Number of upstreams in their slow start.
+    [[nodiscard]] std::size_t ramping_upstreams();
     /// Sets which configuration this host has heard of, for how long it has heard of no other, and
     /// whether its sources answer. What it has received is in force.
     void set_known_config(std::uint64_t version, std::chrono::milliseconds lag,
