--- a/Tests/Routing/cw_slow_start_simulation.cpp
+++ b/Tests/Routing/cw_slow_start_simulation.cpp
@@ -57,9 +57,9 @@
       config_{cw_slow_start_config(chosen.has_slow_start ? 3s : 0s)},
       warm_{make_lists(warm_upstreams, chosen.slots)},
       all_{make_lists(warm_upstreams + 1, chosen.slots)},
+      is_listed_{chosen.recovers},
       hosts_(chosen.hosts),
       servers_(warm_upstreams + 1) {
-    is_listed_ = options_.recovers;
     for (auto& item : hosts_) {
         item.stats.resize(warm_upstreams + 1);
         item.ramps.set_config(&config_);
--- a/Tests/Routing/cw_upstream_ramp_test.cpp
+++ b/Tests/Routing/cw_upstream_ramp_test.cpp
@@ -80,12 +80,12 @@
         std::uint32_t slots;
     };
     // The service time that is assumed of an upstream without answers lies between the two.
-    for (const auto& [service_seconds, slots] : {service{0.010, 6}, service{0.300, 200}}) {
+    for (const auto& tried : {service{0.010, 6}, service{0.300, 200}}) {
         for (const std::size_t hosts : {1U, 10U, 71U, 4'700U}) {
             simulation::options chosen;
             chosen.hosts = hosts;
-            chosen.service_seconds = service_seconds;
-            chosen.slots = slots;
+            chosen.service_seconds = tried.seconds;
+            chosen.slots = tried.slots;
             // A single host prefers the upstreams whose smoothed times are shortest by chance, so
             // that with a wide spread no upstream gets an even part. Many hosts prefer different
             // ones.
@@ -94,7 +94,7 @@
             simulated.run(-2s, 8s);
             const auto first = static_cast<double>(simulated.requests(0s, 1s));
             const auto later = static_cast<double>(simulated.requests(5s, 8s)) / 3.0;
-            CAPTURE(service_seconds);
+            CAPTURE(tried.seconds);
             CAPTURE(hosts);
             CAPTURE(first);
             CAPTURE(later);
