Count overlapping executions as two owners for services with keys only

The audit compares the executions of all upstreams by path, those of services without keys included; two requests with one path may run at the same time there.

Change: upstreams' journals say whether their keys have owners, and only such executions are compared. Reports and the demo name the first pair, so that the next one can be traced.

--- a/Source/cw_load_audit.h
+++ b/Source/cw_load_audit.h
@@ -18,6 +18,9 @@
     std::chrono::microseconds start{};
     std::chrono::microseconds end{};
     bool committed = false;
+    /// Whether the upstream's keys have owners. Upstreams of a service without keys may execute
+    /// requests with the same path at the same time.
+    bool is_keyed = true;
 };
 
 /// Result of comparing the recorded outcomes with the upstreams' journals.
@@ -30,8 +33,11 @@
     std::size_t false_did_not_run = 0;
     /// Non-idempotent requests that were committed more than once.
     std::size_t doubled = 0;
-    /// Pairs of committed executions of one key on two upstreams that overlapped in time.
+    /// Pairs of committed executions of one key on two upstreams that overlapped in time, for
+    /// services with keys.
     std::size_t two_owner_moments = 0;
+    /// Key, upstreams and times of the first of these pairs; empty for none.
+    std::string first_two_owner_moment;
 
     /// Compares the outcomes that the load tool saw with the journals of all upstreams.
     [[nodiscard]] static cw_load_audit compare(const std::vector<cw_load_record>& records,
--- a/Source/cw_load_report.cpp
+++ b/Source/cw_load_report.cpp
@@ -107,6 +107,7 @@
         value["false_did_not_run"] = audit->false_did_not_run;
         value["doubled"] = audit->doubled;
         value["two_owner_moments"] = audit->two_owner_moments;
+        value["first_two_owner_moment"] = audit->first_two_owner_moment;
     }
     return value;
 }
--- a/Standins/cw_upstream_standin.cpp
+++ b/Standins/cw_upstream_standin.cpp
@@ -204,7 +204,8 @@
     auto list = nlohmann::json::array();
     for (const auto& entry : journal_) {
         list.push_back({entry.request_id, entry.key, entry.start.time_since_epoch().count(),
-                        entry.end.time_since_epoch().count(), entry.committed, entry.generation});
+                        entry.end.time_since_epoch().count(), entry.committed, entry.generation,
+                        options_.is_keyed});
     }
     return list.dump();
 }
--- a/Tests/Estate/demo.sh
+++ b/Tests/Estate/demo.sh
@@ -67,6 +67,8 @@
         "$(field $service answered)" "$(field $service did_not_run)" "$(field $service unknown)" \
         "$(field $service p50_us)" "$(field $service p99_us)" "$(field $service away_max_ms)" \
         "$(field $service doubled)" "$(field $service two_owner_moments)"
+    # Every report covers the journals of all upstreams, so each names the same pair.
+    [ "$(field $service two_owner_moments)" = 0 ] || grep '"first_two_owner_moment"' "$results/$service"
     [ "$service" = gallery ] || [ "$(field $service answered)" = "$(field $service requests)" ] || failed=1
 done
 # Unavailability ends with the next answered request of a key, so the measured time includes up to one request
