Choose the length of leases by how long the service's requests may take

Cause: an upstream ends a request in failure if it runs for longer than the lease that was in force when it began; renewals during the run do not help.

Ruled out: the deployment's own share of errors (0.4 in 100); late renewals (no grant failed in that time). Weighed: renewals every 0.1 s (2.8 times the grants on the steward's host), leases up to the route's timeout (keys of a lost upstream away for 2.9 s).

Change: the lease is the longest target latency of the service's routes and one renewal interval with its delay, at least 1 s as before and at most 1.8 s. Deployments with targets up to 0.62 s keep theirs. A steward grants longer leases once its table in the store names their length, and successors wait for the longest that the table has named.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -105,8 +105,12 @@
     }
     for (auto& [name, steward] : stewards_) {
         const auto service = config_->services().find(name);
-        steward->set_cold_limit(service != config_->services().end() &&
-                                service->second.cold_rate > 0.0);
+        if (service != config_->services().end()) {
+            steward->set_cold_limit(service->second.cold_rate > 0.0);
+            steward->set_longest_target(service->second.longest_target);
+        } else {
+            steward->set_cold_limit(false);
+        }
     }
 }
 
--- a/Source/cw_key_table.cpp
+++ b/Source/cw_key_table.cpp
@@ -120,10 +120,15 @@
     for (const auto& predecessor : table.predecessors) {
         predecessor_list.push_back(steward_to_json(predecessor));
     }
-    return {{"term", table.term.number},        {"era", table.term.era},
-            {"edition", table.edition},         {"steward", steward_to_json(table.steward)},
-            {"predecessors", predecessor_list}, {"owners_uncertain", table.are_owners_uncertain},
-            {"last_fence", table.last_fence}};
+    nlohmann::json value{
+        {"term", table.term.number},        {"era", table.term.era},
+        {"edition", table.edition},         {"steward", steward_to_json(table.steward)},
+        {"predecessors", predecessor_list}, {"owners_uncertain", table.are_owners_uncertain},
+        {"last_fence", table.last_fence}};
+    if (table.longest_lease.count() != 0) {
+        value["longest_lease_ms"] = table.longest_lease.count();
+    }
+    return value;
 }
 
 bool covers_all_keys(const std::vector<cw_key_range>& ranges) {
@@ -275,6 +280,8 @@
             table.predecessors.push_back(steward_from_json(item));
         }
         table.last_fence = value.at("last_fence").get<std::uint64_t>();
+        table.longest_lease =
+            std::chrono::milliseconds{value.value("longest_lease_ms", std::int64_t{0})};
         table.ranges.clear();
         if (value.contains("range_numbers")) {
             table.ranges = ranges_from_numbers(value.at("range_numbers"), value.at("owners"));
--- a/Source/cw_key_table.h
+++ b/Source/cw_key_table.h
@@ -4,6 +4,7 @@
 #include "cw_key_range.h"
 #include "cw_term.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -51,6 +52,10 @@
     /// True if an unknown earlier steward may have moved keys, so that upstreams which this table
     /// does not name may hold them.
     bool are_owners_uncertain = false;
+    /// Upper bound of the leases that stewards of this table grant. 0, also in tables of an earlier
+    /// release, stands for cw_steward_options::lease. Never lowered, so that each successor waits
+    /// for the longest lease that a predecessor may have granted.
+    std::chrono::milliseconds longest_lease{0};
     /// The highest fence assigned so far.
     std::uint64_t last_fence = 0;
     /// Sorted by key; together they cover all keys without gaps.
--- a/Source/cw_predecessors.cpp
+++ b/Source/cw_predecessors.cpp
@@ -9,7 +9,7 @@
 } // namespace
 
 cw_predecessors::cw_predecessors(const cw_steward_options& options, std::string self)
-    : max_lease_{options.max_lease()},
+    : max_lease_{options.max_lease(options.lease)},
       in_flight_allowance_{options.max_send_delay + message_delay},
       notice_interval_{options.succession_retry_interval},
       self_host_{std::move(self)} {}
--- a/Source/cw_predecessors.h
+++ b/Source/cw_predecessors.h
@@ -4,6 +4,7 @@
 #include "cw_key_table.h"
 #include "cw_steward_options.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -21,6 +22,11 @@
 public:
     cw_predecessors(const cw_steward_options& options, std::string self);
 
+    /// Raises the longest time for which a lease of an earlier steward may be in force; a lower
+    /// value is ignored.
+    void raise_max_lease(std::chrono::milliseconds max_lease) {
+        max_lease_ = std::max(max_lease_, max_lease);
+    }
     /// A process of the host reported; its earlier processes have ended.
     void on_host_process(const std::string& host, std::uint64_t incarnation);
     /// A predecessor acknowledged this host's present term.
--- a/Source/cw_site_config.cpp
+++ b/Source/cw_site_config.cpp
@@ -53,6 +53,10 @@
         if (const auto checked = check_route(route, config.services_); !checked) {
             return tl::unexpected(checked.error());
         }
+        for (const auto& part : route.parts) {
+            auto& longest = config.services_.at(part.service).longest_target;
+            longest = std::max(longest, route.target);
+        }
         config.routes_[normalized_host(route.host)].push_back(std::move(route));
     }
     for (auto& [host, list] : config.routes_) {
--- a/Source/cw_site_service.h
+++ b/Source/cw_site_service.h
@@ -18,4 +18,6 @@
     double cold_rate = 0.0;
     /// How long an upstream is cold after its start; 0 if the configuration names no time.
     std::chrono::milliseconds cold_start{0};
+    /// Longest target latency of the routes that lead to the service; 0 if none does.
+    std::chrono::milliseconds longest_target{0};
 };
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -32,6 +32,8 @@
       failure_detector_{options_, seed},
       pending_commands_{options_},
       predecessors_{options_, self_.host},
+      wanted_lease_{options_.lease},
+      longest_known_lease_{options_.lease},
       balance_{options_} {}
 
 bool cw_steward::is_steward() const {
@@ -158,6 +160,24 @@
     options_.tenure = std::max(options_.tenure, tenure);
 }
 
+void cw_steward::set_longest_target(std::chrono::milliseconds target) {
+    wanted_lease_ = options_.lease_for_requests(target);
+    note_lease(wanted_lease_);
+}
+
+void cw_steward::note_lease(std::chrono::milliseconds lease) {
+    longest_known_lease_ = std::max(longest_known_lease_, lease);
+    predecessors_.raise_max_lease(max_lease());
+}
+
+std::chrono::milliseconds cw_steward::granted_lease() const {
+    return std::min(wanted_lease_, std::max(options_.lease, table_.longest_lease));
+}
+
+std::chrono::milliseconds cw_steward::max_lease() const {
+    return options_.max_lease(longest_known_lease_);
+}
+
 void cw_steward::set_reader(bool is_reader) {
     is_reader_ = is_reader;
     failure_detector_.set_reader(is_reader);
@@ -450,7 +470,7 @@
     command.first = range.first;
     command.last = range.last;
     command.fence = range.fence;
-    command.lease = options_.lease;
+    command.lease = granted_lease();
     command.handover = state.is_confirmed ? std::string{} : state.handover;
     state.next_command = now + options_.renewal_interval;
     send_command(std::move(command), now, out);
@@ -574,7 +594,7 @@
                                 const cw_ownership_command_ended& event, cw_boot_time now) {
     const bool done = event.result == cw_ownership_command_result::done;
     const bool may_have_arrived = done || event.result == cw_ownership_command_result::unanswered;
-    const auto lease_end = event.ended_at + options_.max_lease();
+    const auto lease_end = event.ended_at + options_.max_lease(command.lease);
     if (event.result == cw_ownership_command_result::unconfirmed) {
         unconfirmed_at_ = std::max(unconfirmed_at_, event.ended_at);
     }
@@ -608,7 +628,7 @@
 void cw_steward::on_holder_released(cw_key_holder& holder,
                                     const cw_ownership_command_ended& event) const {
     if (holder.has_earlier_release) {
-        holder.work_end = event.ended_at + options_.max_lease();
+        holder.work_end = event.ended_at + max_lease();
     } else {
         holder.is_released = true;
     }
@@ -740,8 +760,13 @@
                          next.range_of(move.first).owner.id);
     }
     next.apply(moves);
+    if (wanted_lease_ > std::max(options_.lease, next.longest_lease)) {
+        next.longest_lease = wanted_lease_;
+        record_event("leases get longer", self_.host,
+                     std::to_string(wanted_lease_.count()) + " ms at most");
+    }
     const bool should_save = unsaved_since_ != cw_boot_time{} && now > unsaved_since_ + save_delay;
-    if (next.ranges != table_.ranges || should_save) {
+    if (next.ranges != table_.ranges || next.longest_lease != table_.longest_lease || should_save) {
         write_table(std::move(next), out);
     }
 }
@@ -765,6 +790,7 @@
         failure_detector_.reset(now);
     }
     table_ = table;
+    note_lease(table_.longest_lease);
     range_states_ = std::move(states);
     if (is_steward() && !was_steward) {
         start_stewardship(now);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -73,6 +73,10 @@
     /// Sets whether cold upstreams of the service take few requests only, so that their keys are
     /// moved to others.
     void set_cold_limit(bool has_cold_limit) { has_cold_limit_ = has_cold_limit; }
+    /// Sets the time within which callers have full use of a response of this service, by which the
+    /// length of the leases is chosen. The leases of a steward are lengthened once its table in the
+    /// store names the new length.
+    void set_longest_target(std::chrono::milliseconds target);
     /// `is_reader` is true for the hosts with the most CPU capacity of a failure domain, which
     /// check the heartbeats of an unresponsive steward and succeed it. The other hosts wait longer
     /// before they do so, since in a large fleet all hosts would otherwise call the store at once
@@ -141,6 +145,12 @@
     [[nodiscard]] bool can_hold(const cw_key_range& range, const cw_key_holder& holder,
                                 cw_boot_time now) const;
     void send_command(cw_ownership_command command, cw_boot_time now, commands& out);
+    /// Takes into account that leases of the given length may have been granted.
+    void note_lease(std::chrono::milliseconds lease);
+    /// Length of the leases that may be granted now.
+    [[nodiscard]] std::chrono::milliseconds granted_lease() const;
+    /// Longest time for which a lease of any steward of the table may be in force.
+    [[nodiscard]] std::chrono::milliseconds max_lease() const;
     void plan_moves(cw_boot_time now, commands& out);
     void write_table(cw_key_table table, commands& out);
     void resign(cw_boot_time now, commands& out);
@@ -181,6 +191,10 @@
     bool is_started_ = false;
     bool is_reader_ = true;
     bool has_cold_limit_ = false;
+    /// Length of the leases that the configuration calls for.
+    std::chrono::milliseconds wanted_lease_;
+    /// The longest one of all tables and configurations that this process has known.
+    std::chrono::milliseconds longest_known_lease_;
 
     cw_key_table table_;
     std::uint64_t revision_ = 0;
--- a/Source/cw_steward_options.h
+++ b/Source/cw_steward_options.h
@@ -2,14 +2,21 @@
 
 #include "cw_key_planner.h"
 
+#include <algorithm>
 #include <chrono>
 
 /// Intervals and limits of key ownership. docs/PLATFORM.md derives them.
 struct cw_steward_options {
-    /// Length of a lease, counted by the upstream from the arrival of the grant.
+    /// Shortest length of a lease, counted by the upstream from the arrival of the grant. A longer
+    /// one keeps the keys of a lost upstream away from callers for longer.
     std::chrono::milliseconds lease{1'000};
+    /// Longest length of a lease that is chosen for the sake of running requests. An upstream may
+    /// execute a command that got no answer 2 s late, and its lease has to have ended by then.
+    std::chrono::milliseconds max_request_lease{1'800};
     /// Interval between two renewals of one range.
     std::chrono::milliseconds renewal_interval{280};
+    /// Delay of a renewal and of its way that is usual on a busy host.
+    std::chrono::milliseconds max_renewal_delay{100};
     /// Time after its decision at which a command to an upstream is no longer sent.
     std::chrono::milliseconds max_send_delay{400};
     /// Minimum interval between two reads of the table that confirm this host as the steward for
@@ -66,9 +73,18 @@
     double clock_error = 0.04;
     cw_key_plan_options plan;
 
-    /// Maximum time for which a lease may be in force after the grant has arrived: its length and
-    /// the clock error.
-    [[nodiscard]] std::chrono::milliseconds max_lease() const {
-        return lease + std::chrono::duration_cast<std::chrono::milliseconds>(lease * clock_error);
+    /// Length of the leases for a service whose callers have full use of a response within the
+    /// given time. An upstream ends a request in failure if it runs for longer than the lease that
+    /// was in force when it began, whatever renewals follow.
+    [[nodiscard]] std::chrono::milliseconds
+    lease_for_requests(std::chrono::milliseconds longest_target) const {
+        const auto wanted =
+            std::min(longest_target + renewal_interval + max_renewal_delay, max_request_lease);
+        return std::min(std::max(lease, wanted), std::max(lease, tenure));
+    }
+    /// Maximum time for which a lease of the given length may be in force after the grant has
+    /// arrived: its length and the clock error.
+    [[nodiscard]] std::chrono::milliseconds max_lease(std::chrono::milliseconds length) const {
+        return length + std::chrono::duration_cast<std::chrono::milliseconds>(length * clock_error);
     }
 };
--- a/Source/cw_steward_reply.cpp
+++ b/Source/cw_steward_reply.cpp
@@ -1,5 +1,7 @@
 #include "cw_steward_reply.h"
 
+#include "cw_shared_load_json.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -51,6 +53,9 @@
         value["limits"].push_back({share.id, share.incarnation, number_or_null(share.limit),
                                    share.age.count(), number_or_null(share.admitted)});
     }
+    if (!reply.full_upstreams.empty()) {
+        value["full_upstreams"] = cw_shared_loads_to_json(reply.full_upstreams);
+    }
     return value;
 }
 
@@ -110,6 +115,8 @@
         for (const auto& item : value.value("limits", nlohmann::json::array())) {
             reply.limits.push_back(parse_share(item));
         }
+        reply.full_upstreams =
+            cw_shared_loads_from_json(value.value("full_upstreams", nlohmann::json::array()));
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{read_step, "", failure.what()});
     }
--- a/Source/cw_steward_reply.h
+++ b/Source/cw_steward_reply.h
@@ -4,6 +4,7 @@
 #include "cw_error.h"
 #include "cw_key_table.h"
 #include "cw_limit_share.h"
+#include "cw_shared_load.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,8 @@
     /// 0 and empty from a steward that does not collect limits.
     std::uint32_t limit_hosts = 0;
     std::vector<cw_limit_share> limits;
+    /// Upstreams without a free slot that the steward knows of.
+    std::vector<cw_shared_load> full_upstreams;
 
     /// The reply as JSON text, which hosts of all releases read.
     [[nodiscard]] std::string to_json() const;
--- a/Tests/Gateway/cw_ownership_simulation.cpp
+++ b/Tests/Gateway/cw_ownership_simulation.cpp
@@ -145,11 +145,26 @@
                      cw_steward{service, {host, incarnation, host + ":1"}, options_, engine_()},
                      {}});
     hosts_[host]->steward.set_cold_limit(has_cold_limit_);
+    hosts_[host]->steward.set_longest_target(longest_target_);
     publish_entries();
     tick_host(host, incarnation);
     send_report(host, incarnation);
 }
 
+void cw_ownership_simulation::set_longest_target(std::chrono::milliseconds target,
+                                                 std::chrono::milliseconds max_delay) {
+    longest_target_ = target;
+    for (const auto& [name, host] : hosts_) {
+        const std::chrono::milliseconds delay{engine_() %
+                                              static_cast<std::uint64_t>(max_delay.count() + 1)};
+        schedule(delay, [this, name = name, incarnation = host->incarnation, target] {
+            deliver(name, incarnation, [target](auto& receiver, auto& /*out*/) {
+                receiver.steward.set_longest_target(target);
+            });
+        });
+    }
+}
+
 void cw_ownership_simulation::kill_host(const std::string& host) {
     hosts_.erase(host);
 }
--- a/Tests/Gateway/cw_ownership_simulation.h
+++ b/Tests/Gateway/cw_ownership_simulation.h
@@ -42,6 +42,9 @@
     void cool_upstream(const std::string& id, std::chrono::milliseconds cold);
     /// Sets whether the service has a limit for cold upstreams, on hosts that start from now on.
     void set_cold_limit(bool has_cold_limit) { has_cold_limit_ = has_cold_limit; }
+    /// Sets the longest target latency of the service's routes. Each host learns of it within the
+    /// given time.
+    void set_longest_target(std::chrono::milliseconds target, std::chrono::milliseconds max_delay);
     /// Starts requests for all keys that the upstream holds; they run for the given time.
     void start_work(const std::string& id, std::chrono::milliseconds length);
     /// Ends an upstream's process: it holds no keys and refuses connections. Its entry is removed
@@ -165,6 +168,7 @@
     double late_commands_ = 0.0;
     double late_senders_ = 0.0;
     bool has_cold_limit_ = false;
+    std::chrono::milliseconds longest_target_{0};
     std::size_t store_calls_ = 0;
     std::uint64_t grant_answers_ = 0;
     std::map<std::size_t, double> load_;
--- a/Tests/Gateway/cw_steward_schedule.cpp
+++ b/Tests/Gateway/cw_steward_schedule.cpp
@@ -65,6 +65,7 @@
     constexpr std::uint64_t domain_cut_share = 3;
     constexpr std::uint64_t stale_steward_share = 4;
     constexpr std::uint64_t stop_share = 5;
+    constexpr std::uint64_t lease_change_share = 3;
     if (kinds_ == faults::with_restores && engine_() % restore_share == 0) {
         restore_store();
     } else if ((kinds_ == faults::with_domain_cuts || kinds_ == faults::with_late_senders) &&
@@ -75,7 +76,10 @@
         if (!steward.empty()) {
             simulation_.stop_host(steward);
         }
-    } else if (kinds_ == faults::with_stale_stewards && engine_() % stale_steward_share == 0) {
+    } else if (kinds_ == faults::with_lease_changes && engine_() % lease_change_share == 0) {
+        change_leases();
+    } else if ((kinds_ == faults::with_stale_stewards || kinds_ == faults::with_lease_changes) &&
+               engine_() % stale_steward_share == 0) {
         make_steward_stale();
     } else {
         inject_basic_fault();
@@ -138,6 +142,12 @@
     simulation_.reconnect_all();
 }
 
+void cw_steward_schedule::change_leases() {
+    // The longest target is twice the cap of the leases.
+    const std::chrono::milliseconds target{engine_() % 2 == 0 ? 0 : engine_() % 3'600};
+    simulation_.set_longest_target(target, 2'000ms);
+}
+
 void cw_steward_schedule::inject_basic_fault() {
     const auto host = random_host();
     switch (engine_() % 15) {
--- a/Tests/Gateway/cw_steward_schedule.h
+++ b/Tests/Gateway/cw_steward_schedule.h
@@ -21,7 +21,9 @@
         /// As with_domain_cuts, and one command in ten waits for its sender's thread.
         with_late_senders,
         /// Also stewards that stop gracefully.
-        with_stops
+        with_stops,
+        /// As with_stale_stewards, and the length of the leases changes with the configuration.
+        with_lease_changes
     };
 
     explicit cw_steward_schedule(std::uint64_t seed, faults kinds = faults::basic);
@@ -44,6 +46,8 @@
     /// The steward is suspended, or cut off from the store and from all other hosts but not from
     /// the upstreams. Meanwhile keys move, and two upstreams start again under their ids.
     void make_steward_stale();
+    /// The configuration calls for longer leases than before, or for the shortest ones.
+    void change_leases();
 
     faults kinds_;
     std::mt19937_64 engine_;
--- a/Tests/Gateway/cw_steward_schedule_main.cpp
+++ b/Tests/Gateway/cw_steward_schedule_main.cpp
@@ -5,7 +5,8 @@
 /// Without COUNT, one schedule is run and its decisions are printed. KIND adds faults to the basic
 /// ones: --restores, the store comes back from older copies; --domain-cuts, failure domains are cut
 /// off; --stale-stewards, stewards miss their succession; --late-senders, failure domains are cut
-/// off and commands wait for their sender's thread; --stops, stewards stop gracefully.
+/// off and commands wait for their sender's thread; --stops, stewards stop gracefully;
+/// --lease-changes, as --stale-stewards, and leases change their length.
 
 #include "cw_steward_schedule.h"
 
@@ -22,7 +23,8 @@
         {"--domain-cuts", cw_steward_schedule::faults::with_domain_cuts},
         {"--stale-stewards", cw_steward_schedule::faults::with_stale_stewards},
         {"--late-senders", cw_steward_schedule::faults::with_late_senders},
-        {"--stops", cw_steward_schedule::faults::with_stops}};
+        {"--stops", cw_steward_schedule::faults::with_stops},
+        {"--lease-changes", cw_steward_schedule::faults::with_lease_changes}};
     auto faults = cw_steward_schedule::faults::basic;
     if (const auto kind = words.empty() ? kinds.end() : kinds.find(words.front());
         kind != kinds.end()) {
@@ -31,7 +33,7 @@
     }
     if (words.empty()) {
         std::cerr << "usage: cw_steward_schedules [--restores | --domain-cuts | --stale-stewards | "
-                     "--late-senders | --stops] SEED [COUNT]\n";
+                     "--late-senders | --stops | --lease-changes] SEED [COUNT]\n";
         return 2;
     }
     const auto first = std::strtoull(words[0].c_str(), nullptr, 10);
