Pass on among hosts which upstreams have no free slot

Change: hosts report full upstreams, and those that are full no more, to the service's steward, which names the fullest 24 in its replies with their age. A host takes a named load like one from its own responses, and refuses a request at once that would be late, also when it has none in flight there. Only loads with a fourth figure are passed on, so other deployments send what they sent. The line of an answered request names its status, without which the last fault could not be seen.

--- a/Source/cw_answer_metadata.h
+++ b/Source/cw_answer_metadata.h
@@ -12,6 +12,8 @@
     std::uint32_t slots = 1;
     /// Time that work takes on the upstream's machine at this moment, relative to the usual time.
     double slowdown = 1.0;
+    /// True if the upstream stated the slowdown, so that it shares its machine with others.
+    bool states_slowdown = false;
 };
 
 /// Metadata of an upstream's answer in addition to its content, independent of the platform's
--- a/Source/cw_gateway_attempt.h
+++ b/Source/cw_gateway_attempt.h
@@ -288,6 +288,9 @@
             }
             reported_load_ = metadata.load;
             log_invalid_load(exchange, metadata);
+            if (metadata.load) {
+                traffic_.record_load(exchange.upstream, exchange.fence != 0, *metadata.load);
+            }
             if (metadata.retry_after) {
                 upstream_stats(exchange).set_retry_after(cw_boot_clock::now() +
                                                          *metadata.retry_after);
--- a/Source/cw_gateway_log_fields.cpp
+++ b/Source/cw_gateway_log_fields.cpp
@@ -24,7 +24,9 @@
     if (exchange.beside != 0) {
         list.emplace_back("beside", std::to_string(exchange.beside));
     }
-    if (result != cw_attempt_result::answered) {
+    if (result == cw_attempt_result::answered) {
+        list.emplace_back("status", std::to_string(exchange.answer.result_int()));
+    } else {
         list.emplace_back("reason", exchange.reason);
     }
     return list;
--- a/Source/cw_gateway_sync.cpp
+++ b/Source/cw_gateway_sync.cpp
@@ -156,6 +156,12 @@
     if (service == crash_collecting_service_ && steward == self_) {
         apply_own_limits();
     }
+    if (steward == self_) {
+        const auto now = cw_boot_clock::now();
+        auto& collector = load_collectors_[service];
+        collector.on_report(take_loads(service), now);
+        traffic_.apply_loads(collector.full_upstreams(now));
+    }
 }
 
 boost::asio::awaitable<void> cw_gateway_sync::send_report(cw_steward_id steward,
@@ -172,6 +178,7 @@
                         is_store_suspected_};
     report.counts = take_counts(service);
     report.speeds = take_speeds(service);
+    report.loads = take_loads(service);
     report.leaving = std::exchange(leaving_notices_[service], {});
     if (service == crash_collecting_service_) {
         report.crashes = std::exchange(unreported_crashes_, {});
@@ -235,6 +242,7 @@
         limit_collector_.on_host_count(reply->limit_hosts, now);
         traffic_.limits().apply(reply->limit_hosts, reply->limits, now);
     }
+    traffic_.apply_loads(std::move(reply->full_upstreams));
     deliver_(cw_steward_answer{service, std::move(*table), reply->hosts, reply->requests_successor,
                                reply->crashes, reply->readers});
     return true;
@@ -303,6 +311,7 @@
     if (report->service == crash_collecting_service_) {
         limit_collector_.on_report(report->host, report->limits, cw_boot_clock::now());
     }
+    load_collectors_[report->service].on_report(report->loads, cw_boot_clock::now());
     const auto& service = report->service;
     const std::string_view target{request.target().data(), request.target().size()};
     const auto known_version = table_version_in(target);
@@ -343,6 +352,7 @@
     const auto& table_delta = table_change_logs_[service].delta_since(known_version, format);
     reply.table = table_delta.text;
     reply.is_full_table = table_delta.is_full;
+    reply.full_upstreams = load_collectors_[service].full_upstreams(cw_boot_clock::now());
     if (service == crash_collecting_service_ && view_ != nullptr) {
         auto crash_delta = crash_change_log_.delta_since(known_crashes_digest);
         if (crash_delta.is_full || !crash_delta.counts.empty()) {
@@ -391,6 +401,15 @@
     return drain_items(key_counts_, traffic_.take_counts(), service);
 }
 
+std::vector<cw_shared_load> cw_gateway_sync::take_loads(const std::string& service) {
+    auto taken = traffic_.take_loads(service);
+    if (service == crash_collecting_service_) {
+        const auto keyless = traffic_.take_loads({});
+        taken.insert(taken.end(), keyless.begin(), keyless.end());
+    }
+    return taken;
+}
+
 std::vector<cw_speed_sample> cw_gateway_sync::take_speeds(const std::string& service) {
     return drain_items(speed_samples_, traffic_.take_speeds(), service);
 }
--- a/Source/cw_gateway_sync.h
+++ b/Source/cw_gateway_sync.h
@@ -8,6 +8,7 @@
 #include "cw_http_client.h"
 #include "cw_http_server.h"
 #include "cw_limit_collector.h"
+#include "cw_load_collector.h"
 #include "cw_log.h"
 #include "cw_steward_command.h"
 #include "cw_table_change_log.h"
@@ -116,6 +117,8 @@
     /// True when this host is the service's steward and requests a successor, since the store does
     /// not answer it.
     [[nodiscard]] bool requests_successor(const std::string& service) const;
+    /// Returns the loads to report to the service's steward, and removes them.
+    std::vector<cw_shared_load> take_loads(const std::string& service);
     /// Divides the limited rates for this host itself, as it does for hosts that report to it.
     void apply_own_limits();
     /// Returns the requests for the service's keys since the last call, and resets the counts.
@@ -139,6 +142,8 @@
     /// Data that was taken from traffic and not yet reported, by service.
     std::map<std::string, std::vector<cw_key_count>> key_counts_;
     std::map<std::string, std::vector<cw_speed_sample>> speed_samples_;
+    /// Loads of the upstreams of the services whose steward this host is.
+    std::map<std::string, cw_load_collector> load_collectors_;
     /// Upstreams that are leaving and not yet reported, by service.
     std::map<std::string, std::vector<cw_leaving_notice>> leaving_notices_;
     /// By service, the time limit of the next answer to a report.
--- a/Source/cw_gateway_traffic.cpp
+++ b/Source/cw_gateway_traffic.cpp
@@ -2,12 +2,14 @@
 
 #include "cw_call_watch.h"
 #include "cw_gateway_options.h"
+#include "cw_load_collector.h"
 #include "cw_select_upstream.h"
 #include "cw_usual_service_time.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace net = boost::asio;
@@ -20,6 +22,9 @@
 /// Shortest time in which a deployment requires a change of the configuration to be in force.
 constexpr std::chrono::seconds shortest_config_bound{2};
 
+/// Largest number of requests that is passed on as the load of an upstream.
+constexpr std::uint64_t max_shared_requests = 1'000'000;
+
 /// Key of an upstream's incarnation: "id#incarnation".
 std::string incarnation_name(const cw_upstream_entry& upstream) {
     return upstream.id + "#" + std::to_string(upstream.incarnation);
@@ -355,6 +360,67 @@
     return take_records(speed_samples_);
 }
 
+void cw_gateway_traffic::record_load(const cw_upstream_entry& upstream, bool is_keyed,
+                                     const cw_reported_load& load) {
+    if (!load.states_slowdown) {
+        return;
+    }
+    const auto now = cw_boot_clock::now();
+    // An upstream may state any number.
+    const auto requests =
+        std::min<std::uint64_t>(std::uint64_t{load.running} + load.waiting, max_shared_requests);
+    const cw_shared_load shared{upstream.id, static_cast<std::uint32_t>(requests), load.slots,
+                                std::chrono::milliseconds{0}};
+    // A free slot is of interest only where other hosts take the upstream to be full.
+    if (!shared.is_full() && !stats(upstream).is_known_to_be_full(upstream.slots, now)) {
+        return;
+    }
+    const std::scoped_lock lock{measurements_mutex_};
+    loads_[is_keyed ? upstream.service : std::string{}].insert_or_assign(
+        upstream.id, recorded_load{shared, now});
+}
+
+std::vector<cw_shared_load> cw_gateway_traffic::take_loads(const std::string& service) {
+    std::unordered_map<std::string, recorded_load> records;
+    {
+        const std::scoped_lock lock{measurements_mutex_};
+        records = std::exchange(loads_[service], {});
+    }
+    const auto now = cw_boot_clock::now();
+    std::vector<cw_shared_load> taken;
+    for (auto& [id, record] : records) {
+        record.load.age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - record.stated_at);
+        if (record.load.age <= cw_load_collector::max_age) {
+            taken.push_back(std::move(record.load));
+        }
+    }
+    return taken;
+}
+
+void cw_gateway_traffic::apply_loads(std::vector<cw_shared_load> loads) {
+    if (loads.empty()) {
+        return;
+    }
+    const auto received_at = cw_boot_clock::now();
+    net::post(context_, [this, received_at, loads = std::move(loads)] {
+        std::unordered_map<std::string_view, const cw_shared_load*> by_id;
+        for (const auto& load : loads) {
+            by_id.emplace(load.id, &load);
+        }
+        for (const auto& [service, upstreams] : *view_->upstreams) {
+            for (const auto& upstream : upstreams) {
+                const auto found = by_id.find(upstream.id);
+                if (found != by_id.end()) {
+                    stats(upstream).on_shared_load(found->second->requests,
+                                                   received_at - found->second->age);
+                }
+            }
+        }
+        metrics_.increment("shared_loads", loads.size());
+    });
+}
+
 void cw_gateway_traffic::report_leaving(const cw_leaving_notice& notice) {
     const auto pool = view_->upstreams->find(notice.service);
     const bool is_listed =
--- a/Source/cw_gateway_traffic.h
+++ b/Source/cw_gateway_traffic.h
@@ -14,6 +14,7 @@
 #include "cw_limit_table.h"
 #include "cw_log.h"
 #include "cw_retry_budget.h"
+#include "cw_shared_load.h"
 #include "cw_time.h"
 #include "cw_upstream_ramps.h"
 #include "cw_upstream_speeds.h"
@@ -38,6 +39,7 @@
 
 class cw_call_watch;
 struct cw_gateway_options;
+struct cw_reported_load;
 struct cw_selection_criteria;
 
 /// State shared by all callers' sessions of a gateway: traffic means the callers' requests, as
@@ -159,6 +161,18 @@
     /// from any thread.
     [[nodiscard]] std::map<std::string, std::vector<cw_speed_sample>> take_speeds();
 
+    /// Records the load that an upstream has stated, for take_loads(). Loads are shared with other
+    /// hosts if upstreams state how slow their machines are: these change too fast for what a host
+    /// learns from its own requests.
+    void record_load(const cw_upstream_entry& upstream, bool is_keyed,
+                     const cw_reported_load& load);
+    /// Returns the loads of a service's upstreams recorded since the last call, and clears them;
+    /// the empty name stands for all services without keys. Safe to call from any thread.
+    [[nodiscard]] std::vector<cw_shared_load> take_loads(const std::string& service);
+    /// Applies the loads that other hosts have passed on. Safe to call from any thread; takes
+    /// effect a moment later.
+    void apply_loads(std::vector<cw_shared_load> loads);
+
     /// Requests in progress. Other threads may read it.
     std::atomic<std::uint64_t> open_requests{0};
     /// Connections that wait for their next request.
@@ -213,4 +227,11 @@
     std::map<std::string, std::unordered_map<std::uint32_t, cw_key_count>> key_counts_;
     /// By service and upstream.
     std::map<std::string, std::unordered_map<std::string, cw_speed_sample>> speed_samples_;
+
+    struct recorded_load {
+        cw_shared_load load;
+        cw_boot_time stated_at{};
+    };
+    /// The latest load of each upstream, by service and upstream.
+    std::map<std::string, std::unordered_map<std::string, recorded_load>> loads_;
 };
--- a/Source/cw_gateway_upstream_selector.cpp
+++ b/Source/cw_gateway_upstream_selector.cpp
@@ -239,12 +239,17 @@
         current.retry_after = retry_delay_of(current.upstream);
         return false;
     }
-    const auto expected = traffic_.stats(current.upstream)
-                              .expected_time(current.upstream.slots, cw_boot_clock::now());
+    const auto& stats = traffic_.stats(current.upstream);
+    const auto boot_now = cw_boot_clock::now();
+    const auto expected = stats.expected_time(current.upstream.slots, boot_now);
     const auto target = current.started + current.route->target;
     const auto until = now() < target ? std::min(target, current.deadline) : current.deadline;
     const auto time_left = until - now();
-    if (expected <= time_left || traffic_.stats(current.upstream).in_flight() == 0) {
+    // A request is sent now and then to an upstream that seems too slow, since its time may be out
+    // of date; not to one whose queue is known.
+    const bool may_be_outdated =
+        stats.in_flight() == 0 && !stats.is_known_to_be_full(current.upstream.slots, boot_now);
+    if (expected <= time_left || may_be_outdated) {
         traffic_.limits().on_sent(current.upstream);
         traffic_.on_sent_if_cold(current.upstream);
         return true;
--- a/Source/cw_host_report.cpp
+++ b/Source/cw_host_report.cpp
@@ -1,5 +1,7 @@
 #include "cw_host_report.h"
 
+#include "cw_shared_load_json.h"
+
 #include <nlohmann/json.hpp>
 
 std::string cw_host_report::to_json() const {
@@ -25,19 +27,22 @@
         limit_list.push_back(
             {report.id, report.incarnation, limit, report.age.count(), report.wanted});
     }
-    return nlohmann::json{{"service", service},
-                          {"host", host},
-                          {"incarnation", incarnation},
-                          {"domain", host_info.domain},
-                          {"address", host_info.address},
-                          {"strength", host_info.cpu_capacity},
-                          {"store_suspected", host_info.is_store_suspected},
-                          {"counts", count_list},
-                          {"speeds", speed_list},
-                          {"leaving", leaving_list},
-                          {"crashes", crash_list},
-                          {"limits", limit_list}}
-        .dump();
+    nlohmann::json value{{"service", service},
+                         {"host", host},
+                         {"incarnation", incarnation},
+                         {"domain", host_info.domain},
+                         {"address", host_info.address},
+                         {"strength", host_info.cpu_capacity},
+                         {"store_suspected", host_info.is_store_suspected},
+                         {"counts", count_list},
+                         {"speeds", speed_list},
+                         {"leaving", leaving_list},
+                         {"crashes", crash_list},
+                         {"limits", limit_list}};
+    if (!loads.empty()) {
+        value["loads"] = cw_shared_loads_to_json(loads);
+    }
+    return value.dump();
 }
 
 cw_result<cw_host_report> cw_host_report::parse(std::string_view text) {
@@ -79,6 +84,7 @@
             limit.wanted = item.at(4).get<std::uint32_t>();
             report.limits.push_back(std::move(limit));
         }
+        report.loads = cw_shared_loads_from_json(value.value("loads", nlohmann::json::array()));
     } catch (const nlohmann::json::exception& failure) {
         return tl::unexpected(cw_error{"parse host report", "", failure.what()});
     }
--- a/Source/cw_host_report.h
+++ b/Source/cw_host_report.h
@@ -5,6 +5,7 @@
 #include "cw_key_load.h"
 #include "cw_leaving_notice.h"
 #include "cw_limit_report.h"
+#include "cw_shared_load.h"
 #include "cw_upstream_speeds.h"
 
 #include <cstdint>
@@ -35,6 +36,9 @@
     std::vector<cw_crash_report> crashes;
     /// Known limits of upstreams of all services; sent only to the steward that collects crashes.
     std::vector<cw_limit_report> limits;
+    /// Loads that upstreams have stated since the last report: those of the service, and in the
+    /// report to the steward that collects crashes also those of services without keys.
+    std::vector<cw_shared_load> loads;
 
     /// The report as JSON text.
     [[nodiscard]] std::string to_json() const;
--- a/Source/cw_upstream_stats.cpp
+++ b/Source/cw_upstream_stats.cpp
@@ -39,6 +39,15 @@
     }
 }
 
+void cw_upstream_stats::on_shared_load(std::uint32_t requests, cw_boot_time stated_at) {
+    if (stated_at <= load_reported_at_) {
+        return;
+    }
+    reported_slowdown_ = slowdown(stated_at);
+    other_hosts_load_ = std::max(0.0, static_cast<double>(requests) - in_flight_);
+    load_reported_at_ = stated_at;
+}
+
 double cw_upstream_stats::on_answer(std::chrono::nanoseconds latency,
                                     std::optional<cw_reported_load> load, cw_boot_time now) {
     --in_flight_;
@@ -103,6 +112,10 @@
     return std::max(0.0, std::chrono::duration<double>(now - load_reported_at_).count());
 }
 
+bool cw_upstream_stats::is_known_to_be_full(std::uint32_t slots, cw_boot_time now) const {
+    return report_age(now) < load_half_life_seconds && load(now) >= slots;
+}
+
 bool cw_upstream_stats::awaits_recovery() const {
     return consecutive_failures_ >= failure_threshold || consecutive_oversized_ > 0;
 }
--- a/Source/cw_upstream_stats.h
+++ b/Source/cw_upstream_stats.h
@@ -27,6 +27,9 @@
     /// latency without the wait for a slot.
     double on_answer(std::chrono::nanoseconds latency, std::optional<cw_reported_load> load,
                      cw_boot_time now);
+    /// Another host passed on that `requests` ran or waited at the upstream at the given time.
+    /// Ignored if this host knows a later load.
+    void on_shared_load(std::uint32_t requests, cw_boot_time stated_at);
     /// The upstream refused a request because it is busy.
     void on_busy(std::optional<cw_reported_load> load, cw_boot_time now);
     /// The connection failed, or the answer was late or invalid.
@@ -74,6 +77,8 @@
     /// End of the time for which the upstream accepts no requests; a past time if it accepts them.
     [[nodiscard]] cw_boot_time retry_after() const { return retry_after_; }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
+    /// True if another request would have to wait there, by a load that was stated a moment ago.
+    [[nodiscard]] bool is_known_to_be_full(std::uint32_t slots, cw_boot_time now) const;
 
 private:
     /// Answers after which the smoothed service time depends little on the first of them.
--- a/Tests/Gateway/cw_gateway_fixture.h
+++ b/Tests/Gateway/cw_gateway_fixture.h
@@ -51,6 +51,12 @@
     void set_host_count(std::uint32_t hosts) {
         traffic_.limits().apply(hosts, {}, cw_boot_clock::now());
     }
+    /// Passes on loads of upstreams as another host does.
+    void apply_loads(std::vector<cw_shared_load> loads) { traffic_.apply_loads(std::move(loads)); }
+    /// The loads of a service's upstreams to report to other hosts.
+    [[nodiscard]] std::vector<cw_shared_load> take_loads(const std::string& service) {
+        return traffic_.take_loads(service);
+    }
     /// Replaces the failure domain of an upstream.
     void set_domain(std::size_t index, const std::string& domain);
     /// Publishes a view with the given evacuated failure domains.
