Refuse by known loads only where upstreams state how slow their machines are

A host without a request at an owner refused one that would be late whenever a response of the last 0.6 s named a full owner, also on deployments whose loads have three figures. Those are to be served as before: such a host sends the request, since its knowledge may be out of date.

Change: loads say whether hosts pass them on, and an upstream counts as known to be full only by such a load.

--- a/Source/cw_upstream_stats.cpp
+++ b/Source/cw_upstream_stats.cpp
@@ -35,6 +35,7 @@
         const auto total = static_cast<double>(load->running) + load->waiting;
         other_hosts_load_ = std::max(0.0, total - in_flight_);
         reported_slowdown_ = load->slowdown;
+        is_load_shared_ = load->states_slowdown;
         load_reported_at_ = now;
     }
 }
@@ -46,6 +47,7 @@
     reported_slowdown_ = slowdown(stated_at);
     other_hosts_load_ = std::max(0.0, static_cast<double>(requests) - in_flight_);
     load_reported_at_ = stated_at;
+    is_load_shared_ = true;
 }
 
 double cw_upstream_stats::on_answer(std::chrono::nanoseconds latency,
@@ -113,7 +115,7 @@
 }
 
 bool cw_upstream_stats::is_known_to_be_full(std::uint32_t slots, cw_boot_time now) const {
-    return report_age(now) < load_half_life_seconds && load(now) >= slots;
+    return is_load_shared_ && report_age(now) < load_half_life_seconds && load(now) >= slots;
 }
 
 bool cw_upstream_stats::awaits_recovery() const {
--- a/Source/cw_upstream_stats.h
+++ b/Source/cw_upstream_stats.h
@@ -78,6 +78,8 @@
     [[nodiscard]] cw_boot_time retry_after() const { return retry_after_; }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
     /// True if another request would have to wait there, by a load that was stated a moment ago.
+    /// Always false for upstreams that do not state how slow their machines are, whose loads are
+    /// not passed on among hosts.
     [[nodiscard]] bool is_known_to_be_full(std::uint32_t slots, cw_boot_time now) const;
 
 private:
@@ -96,6 +98,8 @@
     /// Time that work took at the time of the last report, relative to the usual.
     double reported_slowdown_ = 1.0;
     cw_boot_time load_reported_at_{};
+    /// True if the last load is one that hosts pass on.
+    bool is_load_shared_ = false;
     bool has_invalid_load_ = false;
     /// Smoothed service time in seconds; 0 before the first answer.
     double service_seconds_ = 0.0;
--- a/Tests/Gateway/cw_shared_load_test.cpp
+++ b/Tests/Gateway/cw_shared_load_test.cpp
@@ -5,7 +5,9 @@
 #include "cw_steward_reply.h"
 #include "cw_upstream_stats.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -43,6 +45,16 @@
     };
 }
 
+/// Responds like respond(), with one load in the first response and another one in all later ones.
+cw_raw_upstream::script respond_twice(const std::string& first, const std::string& later,
+                                      bool states_slowdown) {
+    const std::string slowdown = states_slowdown ? ",100" : "";
+    const auto count = std::make_shared<std::atomic<int>>(0);
+    return [=](const std::string& request) {
+        return respond((++*count == 1 ? first : later) + slowdown)(request);
+    };
+}
+
 const std::string key_headers = "X-Cuminwinch-Attempt-Id: r1\r\n"
                                 "X-Cuminwinch-Request-Timeout-Ms: 2000\r\n"
                                 "X-Cuminwinch-Shard-Key: 7\r\n";
@@ -119,7 +131,7 @@
 TEST_CASE("upstream_stats_take_a_shared_load_unless_they_know_a_later_one") {
     cw_upstream_stats stats;
     stats.on_sent();
-    stats.on_answer(400ms, cw_reported_load{6, 2, slots}, start);
+    stats.on_answer(400ms, cw_reported_load{6, 2, slots, 1.0, true}, start);
     CHECK(stats.is_known_to_be_full(slots, start));
     stats.on_shared_load(2, start - 10ms);
     CHECK(stats.is_known_to_be_full(slots, start));
@@ -130,6 +142,21 @@
     CHECK_FALSE(stats.is_known_to_be_full(slots, start + 5s));
 }
 
+// Where upstreams state three values, a host without a request there sends one as before.
+TEST_CASE("upstream_that_does_not_state_its_slowdown_is_never_known_to_be_full") {
+    cw_upstream_stats stats;
+    stats.on_sent();
+    stats.on_answer(400ms, cw_reported_load{6, 20, slots}, start);
+    CHECK_FALSE(stats.is_known_to_be_full(slots, start));
+    for (const bool states_slowdown : {false, true}) {
+        cw_gateway_fixture gateway{{respond_twice("1,0,6", "6,54,6", states_slowdown)}};
+        REQUIRE(cw_status_of(gateway.send("GET", "/key/a", key_headers)) == 200);
+        REQUIRE(cw_status_of(gateway.send("GET", "/key/a", key_headers)) == 200);
+        const auto third = gateway.send("GET", "/key/a", key_headers);
+        CHECK(cw_status_of(third) == (states_slowdown ? 503 : 200));
+    }
+}
+
 // The slowdown decays from the upstream's own statement, not from the news of another host.
 TEST_CASE("upstream_stats_do_not_renew_a_slowdown_with_a_shared_load") {
     cw_upstream_stats stats;
