--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -100,10 +100,36 @@
         }
     }
 
+    /// Cuts the server off: nothing that is sent to it arrives, and it sends nothing.
+    void cut() { is_cut_ = true; }
+
+    /// Ends the cut. All connections of before are reset, so what was sent on them is lost.
+    void heal() {
+        is_cut_ = false;
+        for (auto* socket : sockets_) {
+            reset(*socket);
+        }
+    }
+
     /// Time after which the server closes an idle connection.
     void set_idle_time(milliseconds length) { idle_time_ = length; }
 
 private:
+    static void reset(tcp::socket& socket) {
+        boost::system::error_code ignored;
+        socket.set_option(net::socket_base::linger{true, 0}, ignored);
+        socket.close(ignored);
+    }
+
+    /// Waits for the end of a cut; false if the connection was open in one.
+    task<bool> survives_cut(tcp::socket& socket) {
+        const bool was_cut = is_cut_;
+        while (is_cut_ && socket.is_open()) {
+            co_await pause(context_, milliseconds{10});
+        }
+        co_return !was_cut && socket.is_open();
+    }
+
     static task<void> accept(std::shared_ptr<server> self) {
         while (self->acceptor_.is_open()) {
             boost::system::error_code failure;
@@ -118,7 +144,7 @@
     static task<void> serve(std::shared_ptr<server> self, tcp::socket socket) {
         self->sockets_.insert(&socket);
         boost::beast::flat_buffer buffer;
-        bool is_open = true;
+        bool is_open = co_await self->survives_cut(socket);
         while (is_open) {
             is_open = co_await self->serve_one(socket, buffer);
         }
@@ -132,12 +158,12 @@
             const time_limit limit{context_, socket, idle_time_};
             co_await http::async_read(socket, buffer, message, into(failure));
         }
-        if (failure) {
+        if (failure || !co_await survives_cut(socket)) {
             co_return false;
         }
         const bool keep_alive = message.keep_alive();
         auto answer = co_await handle_(std::move(message));
-        if (!answer || !socket.is_open()) {
+        if (!answer || !co_await survives_cut(socket)) {
             co_return false;
         }
         const bool stays_open = keep_alive && answer->keep_alive();
@@ -153,6 +179,7 @@
     tcp::acceptor acceptor_;
     handler handle_;
     milliseconds idle_time_{120'000};
+    bool is_cut_ = false;
     std::set<tcp::socket*> sockets_;
 };
 
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -20,8 +20,15 @@
         : context_{context},
           server_{std::make_shared<server>(
               context, loopback(port), [this](request message) -> task<std::optional<response>> {
+                  if (is_away_) {
+                      co_return std::nullopt;
+                  }
+                  const auto absences = absences_;
                   auto answer = co_await serve(std::move(message));
-                  answer.set("Store-Era", "1");
+                  if (absences != absences_) {
+                      co_return std::nullopt;
+                  }
+                  answer.set("Store-Era", std::to_string(era_));
                   co_return answer;
               })} {
         server_->start();
@@ -49,7 +56,30 @@
         }
     }
 
-    [[nodiscard]] bool has(const std::string& kind) { return !objects_[kind].empty(); }
+    /// The spec of an object; null if there is none.
+    [[nodiscard]] json spec(const std::string& kind, const std::string& name) const {
+        const auto objects = objects_.find(kind);
+        if (objects == objects_.end() || !objects->second.contains(name)) {
+            return {};
+        }
+        return objects->second.at(name).at("spec");
+    }
+
+    /// A drill: the store is away, and comes back from a copy.
+    void take_copy() { copy_ = {objects_, history_, forgotten_, revision_}; }
+    void go_away() {
+        is_away_ = true;
+        ++absences_;
+        changed_now();
+    }
+    void come_back_from_copy() {
+        objects_ = copy_.objects;
+        history_ = copy_.history;
+        forgotten_ = copy_.forgotten;
+        revision_ = copy_.revision;
+        ++era_;
+        is_away_ = false;
+    }
 
 private:
     struct event {
@@ -58,6 +88,13 @@
         json content;
     };
 
+    struct contents {
+        std::map<std::string, std::map<std::string, json>> objects;
+        std::deque<event> history;
+        std::uint64_t forgotten = 0;
+        std::uint64_t revision = 1;
+    };
+
     static constexpr std::size_t max_history = 20'000;
     static constexpr std::size_t page_size = 500;
 
@@ -205,6 +242,10 @@
     std::deque<event> history_;
     std::uint64_t forgotten_ = 0;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 1;
+    bool is_away_ = false;
+    std::uint64_t absences_ = 0;
+    contents copy_;
     std::set<net::steady_timer*> waiting_;
     std::shared_ptr<server> server_;
 };
