--- a/review/gateways-2.sh
+++ b/review/gateways-2.sh
@@ -13,6 +13,9 @@
 }
 trap finish EXIT
 
+# The stand-ins hold both ends of many connections.
+ulimit -Sn "$(ulimit -Hn)"
+
 cannot_run() {
     echo "cannot run: $1"
     exit 2
