Move what a store's era means for key tables out of cw_steward

Cause: cw_steward (800 lines) held the era, the time at which it was learned, the rule which tables are older than it, and the arithmetic of lost fences beside all its other decisions.

Change: cw_store_era holds them. No decision changes.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -13,10 +13,6 @@
 constexpr auto save_delay = 1'000ms;
 /// Added to the last fence when an owner has refused a grant because it has seen a higher fence.
 constexpr std::uint64_t fence_increment = 64;
-/// More than the fences that can be assigned in the time that one older copy of the store lacks.
-constexpr std::uint64_t max_lost_fences = 1'000'000;
-/// Eras for which fences are skipped at most, so that fences stay far below 2^53.
-constexpr std::uint64_t max_missed_eras = 1'000;
 
 std::string range_text(std::uint32_t first, std::uint32_t last) {
     return std::to_string(first) + "-" + std::to_string(last);
@@ -108,15 +104,11 @@
 }
 
 void cw_steward::on_store_era(std::uint64_t era, cw_boot_time now) {
-    if (era <= store_era_) {
-        return;
-    }
-    store_era_ = era;
-    store_era_seen_at_ = now;
+    store_era_.on_named(era, now);
 }
 
 bool cw_steward::is_revision_current() const {
-    return is_revision_known_ && revision_era_ == store_era_;
+    return is_revision_known_ && revision_era_ == store_era_.number();
 }
 
 void cw_steward::on_host_process(const std::string& host, std::uint64_t incarnation,
@@ -238,7 +230,8 @@
     is_store_busy_ = false;
     is_writing_table_ = false;
     // An answer of an earlier era says nothing about what the store holds now.
-    is_revision_known_ = event.result != cw_table_result::unknown && event.era >= store_era_;
+    is_revision_known_ =
+        event.result != cw_table_result::unknown && event.era >= store_era_.number();
     if (!is_revision_known_) {
         next_store_call_ = now + options_.store_retry_delay;
         return;
@@ -255,12 +248,12 @@
             (event.table->is_newer_than(table_) || event.table->steward != table_.steward)) {
             adopt_table(*event.table, now);
         }
-        if (!is_stale && event.table->steward == self_ && table_.term.era == store_era_) {
+        if (!is_stale && event.table->steward == self_ && table_.term.era == store_era_.number()) {
             confirmed_at_ = event.sent_at;
         }
     }
     const bool is_lost = !event.table || event.table->term < table_.term;
-    is_table_lost_ = is_steward() && (is_lost || table_.term.era < store_era_);
+    is_table_lost_ = is_steward() && (is_lost || table_.term.era < store_era_.number());
     if (was_steward && is_steward() && table_.term.era != last_era) {
         predecessors_.on_store_restored(options_, now);
         record_event("steward continues in a new era", self_.host, "term " + table_.term.text());
@@ -318,7 +311,7 @@
         return;
     }
     const bool is_vacant = table_.steward.host.empty() || table_.steward.host == self_.host;
-    if (is_of_earlier_era(table_) && now < store_era_seen_at_ + options_.restore_grace) {
+    if (store_era_.may_lack_moves(table_) && now < store_era_.seen_at() + options_.restore_grace) {
         return;
     }
     if (failure_detector_.may_claim(is_vacant, now)) {
@@ -347,33 +340,28 @@
     }
     succeeded_ = last;
     copy.steward = self_;
-    copy.are_owners_uncertain = table_.are_owners_uncertain || is_of_earlier_era(table_);
+    copy.are_owners_uncertain = table_.are_owners_uncertain || store_era_.may_lack_moves(table_);
     begin_term(copy);
     write_table(std::move(copy), out);
 }
 
 void cw_steward::begin_term(cw_key_table& table) const {
-    if (is_of_earlier_era(table)) {
-        const auto missed_eras = std::min(store_era_ - table.term.era, max_missed_eras);
-        table.last_fence += missed_eras * max_lost_fences;
+    if (store_era_.may_lack_moves(table)) {
         const auto& known = table.predecessors;
         if (std::find(known.begin(), known.end(), cw_steward_id::unknown()) == known.end()) {
             table.predecessors.push_back(cw_steward_id::unknown());
         }
     }
-    table.term = {store_era_, table.term.number + 1};
+    store_era_.skip_lost_fences(table);
+    table.term = {store_era_.number(), table.term.number + 1};
     table.names_era = true;
 }
 
-bool cw_steward::is_of_earlier_era(const cw_key_table& table) const {
-    return table.term != cw_term{} && table.names_era && table.term.era < store_era_;
-}
-
 // -- Steward
 
 void cw_steward::restore_table(commands& out) {
     auto copy = table_;
-    if (copy.term.era < store_era_) {
+    if (copy.term.era < store_era_.number()) {
         // A claim of an earlier era that the store did not confirm then may have been written over
         // the older copy: this host was not the steward of before.
         const bool was_confirmed = confirmed_at_ != cw_boot_time{};
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -8,6 +8,7 @@
 #include "cw_steward_event.h"
 #include "cw_steward_failure_detector.h"
 #include "cw_steward_options.h"
+#include "cw_store_era.h"
 #include "cw_timeline_event.h"
 #include "cw_upstream_entry.h"
 #include "cw_upstream_speeds.h"
@@ -123,9 +124,6 @@
     /// Gives the table a term of the store's present era; if the known copy is of an earlier one,
     /// provides for a steward and for fences that the store has lost.
     void begin_term(cw_key_table& table) const;
-    /// True if the table was last written in an earlier era, so that the store may have lost later
-    /// claims and moves.
-    [[nodiscard]] bool is_of_earlier_era(const cw_key_table& table) const;
     /// True if the revision was read in the store's present era.
     [[nodiscard]] bool is_revision_current() const;
     /// True while keys may be held by upstreams which the table does not name, so that not even the
@@ -202,10 +200,7 @@
     bool is_revision_known_ = false;
     /// The store's era in which `revision_` was read.
     std::uint64_t revision_era_ = 0;
-    /// The store's present era; 0 if it names none.
-    std::uint64_t store_era_ = 0;
-    /// When this host learned of it.
-    cw_boot_time store_era_seen_at_{};
+    cw_store_era store_era_;
     /// True if this host is the steward and the store's copy lacks its term.
     bool is_table_lost_ = false;
     /// The steward of the table over which this host has claimed; empty if it had resigned.
--- /dev/null
+++ b/Source/cw_store_era.cpp
@@ -0,0 +1,32 @@
+#include "cw_store_era.h"
+
+#include "cw_key_table.h"
+
+#include <algorithm>
+
+namespace {
+
+/// More than the fences that can be assigned in the time that one older copy of the store lacks.
+constexpr std::uint64_t max_lost_fences = 1'000'000;
+/// Eras for which fences are skipped at most, so that fences stay far below 2^53.
+constexpr std::uint64_t max_missed_eras = 1'000;
+
+} // namespace
+
+void cw_store_era::on_named(std::uint64_t era, cw_boot_time now) {
+    if (era > number_) {
+        number_ = era;
+        seen_at_ = now;
+    }
+}
+
+bool cw_store_era::may_lack_moves(const cw_key_table& table) const {
+    return table.term != cw_term{} && table.names_era && table.term.era < number_;
+}
+
+void cw_store_era::skip_lost_fences(cw_key_table& table) const {
+    if (may_lack_moves(table)) {
+        const auto missed_eras = std::min(number_ - table.term.era, max_missed_eras);
+        table.last_fence += missed_eras * max_lost_fences;
+    }
+}
--- /dev/null
+++ b/Source/cw_store_era.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "cw_boot_clock.h"
+
+#include <cstdint>
+
+struct cw_key_table;
+
+/// The store's era as this host knows it, and what a later era means for key tables.
+///
+/// The store begins an era each time it comes back from an older copy of itself. It has then lost
+/// what was written in the seconds before.
+class cw_store_era {
+public:
+    /// An answer of the store named the era. Earlier ones than the known one are ignored.
+    void on_named(std::uint64_t era, cw_boot_time now);
+    /// The latest known era; 0 if the store names none.
+    [[nodiscard]] std::uint64_t number() const { return number_; }
+    /// When this host learned of it.
+    [[nodiscard]] cw_boot_time seen_at() const { return seen_at_; }
+
+    /// True if the table was last written in an earlier era, so that the store may have lost later
+    /// claims and moves.
+    [[nodiscard]] bool may_lack_moves(const cw_key_table& table) const;
+    /// Raises the last fence of a table of an earlier era above all fences that may have been
+    /// assigned after it was written.
+    void skip_lost_fences(cw_key_table& table) const;
+
+private:
+    std::uint64_t number_ = 0;
+    cw_boot_time seen_at_{};
+};
