Grant keys above lost fences after the store came back from an older copy

Whoever checks fences behind the instances refuses its writes from then on.

Cause: the first gateway that is back claims the stewardship over the older copy. begin_term() raised last_fence by 1,000,000, so moves from then on are above what was lost, but left the fences of the ranges as they were. When the wait for the unknown steward has ended, the owners of the old copy are granted under them. An owner that was cut off while its keys had moved has seen no higher fence and accepts.

It needs no kill of all: a successor that has heard of no move does the same (successor_that_missed_a_lost_move_*).

Change: a claim over a table of an earlier era gives each range a new fence above the lost ones, in the write that it makes anyway, so no call or message is added. A steward that goes on with its own table keeps its fences: its moves are in its table, and an owner that refuses a fence shows that an unknown steward moved its keys. So the acknowledgement now carries the last table of the steward of before, if the successor's owners are uncertain, and the successor goes by its owners and fences, as that steward would have. A steward of an earlier release sends none; its successor waits 12 s.

Why this works: while owners are uncertain nothing is granted. After the full wait no grant of before is in force, and the new fences are above all that can have been given out; after an acknowledgement the successor knows what the steward of before knew.

A log line names the state: "owners are uncertain", with the fence above which grants continue.

The simulation keeps the copies of before a restore, so that the second copy may be older than the first.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -500,6 +500,9 @@
     view->evacuations.services_without_upstreams = services_without_upstreams_;
     for (const auto& [service, steward] : stewards_) {
         view->tables.emplace(service, current_table(service, *steward));
+        if (auto own_table = steward->last_own_table()) {
+            view->last_own_tables.emplace(service, std::move(own_table));
+        }
     }
     return view;
 }
--- a/Source/cw_gateway_sync.cpp
+++ b/Source/cw_gateway_sync.cpp
@@ -266,9 +266,20 @@
     }
     const bool is_addressed_steward =
         reply->host == command.to.host && reply->incarnation == command.to.incarnation;
-    if (answer->result() == http::status::ok && is_addressed_steward) {
-        deliver_(cw_ownership_event{command.service, cw_succession_ack{command.to, command.term}});
+    if (answer->result() != http::status::ok || !is_addressed_steward) {
+        co_return;
+    }
+    cw_succession_ack ack{command.to, command.term};
+    if (!reply->table.empty()) {
+        auto table = cw_key_table::parse(reply->table);
+        if (table) {
+            ack.table = std::make_shared<const cw_key_table>(std::move(*table));
+        } else {
+            log_.warning("The key table of the predecessor is invalid.",
+                         {{"service", command.service}, {"error", table.error().text()}});
+        }
     }
+    deliver_(cw_ownership_event{command.service, std::move(ack)});
 }
 
 // -- requests from other hosts
@@ -294,11 +305,16 @@
         co_return cw_make_response(http::status::bad_request, "{}");
     }
     const auto term = table->term;
+    const bool requests_own_table = table->are_owners_uncertain;
     deliver_(cw_succession{service, std::move(*table)});
     const bool has_adopted_table = co_await wait_for_view(
         deadline_in(report_interval), [&] { return has_reached_term(service, term); });
+    cw_succession_reply reply{self_.host, self_.incarnation};
+    if (has_adopted_table && requests_own_table && view_->last_own_tables.contains(service)) {
+        reply.table = view_->last_own_tables.at(service)->to_compact_json();
+    }
     co_return cw_make_response(has_adopted_table ? http::status::ok : http::status::conflict,
-                               cw_succession_reply{self_.host, self_.incarnation}.to_json());
+                               reply.to_json());
 }
 
 boost::asio::awaitable<cw_http_response> cw_gateway_sync::serve_report(cw_http_request request) {
--- a/Source/cw_key_table.cpp
+++ b/Source/cw_key_table.cpp
@@ -200,6 +200,12 @@
     ranges = std::move(merged);
 }
 
+void cw_key_table::renew_fences() {
+    for (auto& range : ranges) {
+        range.fence = ++last_fence;
+    }
+}
+
 std::string cw_key_table::to_json() const {
     auto value = header_to_json(*this);
     auto range_list = nlohmann::json::array();
--- a/Source/cw_key_table.h
+++ b/Source/cw_key_table.h
@@ -69,6 +69,8 @@
     void apply(const std::vector<cw_key_move>& moves);
     /// Merges adjacent settled ranges of the same owner; each merged range gets a new fence.
     void merge_settled_ranges();
+    /// Gives each range a new fence; the owners stay.
+    void renew_fences();
 
     /// Hash of the ranges. Copies of one term and edition are the same except in rare cases, in
     /// which an unanswered write takes effect late; the digest distinguishes such copies.
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -131,11 +131,12 @@
         return;
     }
     predecessors_.on_succession_ack(event.predecessor);
-    if (is_steward() && table_.are_owners_uncertain && event.predecessor == succeeded_ &&
-        owners_certain_at_ == cw_boot_time{}) {
-        // It was the steward all the time, so nobody else has moved keys. But the store may have
-        // lost its own latest moves, and its last grants to owners that the table does not name
-        // are in force still.
+    // It was the steward all the time, so nobody else has moved keys, and its table holds its own
+    // moves that the store has lost.
+    const bool proves_owners = event.predecessor == succeeded_ && event.table != nullptr &&
+                               event.table->steward == succeeded_;
+    if (is_steward() && table_.are_owners_uncertain && proves_owners && !succeeded_table_) {
+        succeeded_table_ = event.table;
         owners_certain_at_ = now + predecessors_.max_proved_wait();
         record_event("owners will be certain", self_.host, "acknowledged by " + succeeded_.host);
     }
@@ -267,7 +268,7 @@
     pending_commands_.forget_upstreams();
     balance_.start_measuring(now);
     steward_since_ = now;
-    owners_certain_at_ = {};
+    succeeded_table_.reset();
     for (auto& state : range_states_) {
         for (auto& holder : state.holders) {
             holder.has_earlier_release = true;
@@ -276,6 +277,11 @@
     record_event("steward takes over", self_.host,
                  "term " + table_.term.text() + ", earlier grants end within " +
                      std::to_string(wait.count()) + " ms");
+    if (table_.are_owners_uncertain) {
+        record_event("owners are uncertain", self_.host,
+                     "the store came back from an older copy, fences continue above " +
+                         std::to_string(table_.last_fence));
+    }
     drop_ended_predecessors(now);
 }
 
@@ -351,8 +357,13 @@
         if (std::find(known.begin(), known.end(), cw_steward_id::unknown()) == known.end()) {
             table.predecessors.push_back(cw_steward_id::unknown());
         }
+        store_era_.skip_lost_fences(table);
+        // An unknown steward may have moved any range away and back under higher fences. A steward
+        // that goes on keeps its fences: owners that refuse them show that there was one.
+        if (table.are_owners_uncertain) {
+            table.renew_fences();
+        }
     }
-    store_era_.skip_lost_fences(table);
     table.term = {store_era_.number(), table.term.number + 1};
     table.names_era = true;
 }
@@ -379,8 +390,7 @@
 }
 
 bool cw_steward::are_owners_uncertain(cw_boot_time now) const {
-    const bool is_acknowledged = owners_certain_at_ != cw_boot_time{} && now > owners_certain_at_;
-    return table_.are_owners_uncertain && !is_acknowledged && now <= predecessors_.grants_end();
+    return table_.are_owners_uncertain && now <= predecessors_.grants_end();
 }
 
 void cw_steward::run_as_steward(cw_boot_time now, commands& out) {
@@ -414,7 +424,11 @@
     probe_unresponsive(now, out);
     if (!is_stopping_ && !is_store_busy_ && is_revision_current() && !is_table_lost_ &&
         now >= next_store_call_) {
-        plan_moves(now, out);
+        if (are_owners_uncertain(now)) {
+            write_acknowledged_owners(now, out);
+        } else {
+            plan_moves(now, out);
+        }
     }
 }
 
@@ -759,6 +773,20 @@
     }
 }
 
+void cw_steward::write_acknowledged_owners(cw_boot_time now, commands& out) {
+    if (!succeeded_table_ || now <= owners_certain_at_) {
+        return;
+    }
+    auto next = table_;
+    // Nothing has been granted under the fences of this host's claim. The owners keep those of the
+    // steward of before: one that refuses its fence shows that there was an unknown steward.
+    next.ranges = succeeded_table_->ranges;
+    next.last_fence = std::max(next.last_fence, succeeded_table_->last_fence);
+    next.are_owners_uncertain = false;
+    record_event("owners are certain", self_.host, "they are those of " + succeeded_.host);
+    write_table(std::move(next), out);
+}
+
 // -- Key table
 
 void cw_steward::adopt_table(const cw_key_table& table, cw_boot_time now) {
@@ -777,6 +805,9 @@
     if (table.steward != table_.steward) {
         failure_detector_.reset(now);
     }
+    if (was_steward && table.steward != self_) {
+        last_own_table_ = std::make_shared<const cw_key_table>(std::move(table_));
+    }
     table_ = table;
     note_lease(table_.longest_lease);
     range_states_ = std::move(states);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,10 @@
     /// The latest known table, in which settled moves are marked as such even if the store's copy
     /// lacks that. Its term is 0 if no table is known.
     [[nodiscard]] const cw_key_table& table() const { return table_; }
+    /// The last table of this host's last stewardship that has ended; null if there was none.
+    [[nodiscard]] std::shared_ptr<const cw_key_table> last_own_table() const {
+        return last_own_table_;
+    }
     /// True if the latest known table names this process as the steward.
     [[nodiscard]] bool is_steward() const;
     /// True while this host is the steward and the last confirmation by the store is younger than
@@ -121,8 +126,8 @@
     void claim_stewardship(cw_boot_time now, commands& out);
     /// Writes the steward's table again, which the store has lost.
     void restore_table(commands& out);
-    /// Gives the table a term of the store's present era; if the known copy is of an earlier one,
-    /// provides for a steward and for fences that the store has lost.
+    /// Gives the table a term of the store's present era. If the store may have lost moves,
+    /// provides for the steward and for the fences of those moves.
     void begin_term(cw_key_table& table) const;
     /// True if the revision was read in the store's present era.
     [[nodiscard]] bool is_revision_current() const;
@@ -150,6 +155,9 @@
     /// Longest time for which a lease of any steward of the table may be in force.
     [[nodiscard]] std::chrono::milliseconds max_lease() const;
     void plan_moves(cw_boot_time now, commands& out);
+    /// Writes the owners of the steward of before, which are certain, once its last grants have
+    /// ended.
+    void write_acknowledged_owners(cw_boot_time now, commands& out);
     void write_table(cw_key_table table, commands& out);
     void resign(cw_boot_time now, commands& out);
     /// Takes this host, which has learned that its resignation is accepted and grants nothing any
@@ -203,10 +211,13 @@
     cw_store_era store_era_;
     /// True if this host is the steward and the store's copy lacks its term.
     bool is_table_lost_ = false;
+    std::shared_ptr<const cw_key_table> last_own_table_;
     /// The steward of the table over which this host has claimed; empty if it had resigned.
     cw_steward_id succeeded_;
-    /// When the last grants of that steward, which has acknowledged the succession, have ended; the
-    /// clock's epoch if it has not acknowledged it.
+    /// The last table of that steward, which has acknowledged the succession; none if it has not,
+    /// or if its owners were uncertain as well.
+    std::shared_ptr<const cw_key_table> succeeded_table_;
+    /// When its last grants have ended.
     cw_boot_time owners_certain_at_{};
     /// State of the table's ranges, in their order.
     std::vector<cw_range_state> range_states_{cw_range_state{}};
--- a/Source/cw_steward_event.h
+++ b/Source/cw_steward_event.h
@@ -5,6 +5,7 @@
 #include "cw_key_table.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -90,4 +91,7 @@
     cw_steward_id predecessor;
     /// The successor's term.
     cw_term term;
+    /// The last table of the predecessor's stewardship; none from a host of an earlier release, or
+    /// if the owners in the successor's table are certain.
+    std::shared_ptr<const cw_key_table> table = nullptr;
 };
--- a/Source/cw_store_era.cpp
+++ b/Source/cw_store_era.cpp
@@ -25,8 +25,6 @@
 }
 
 void cw_store_era::skip_lost_fences(cw_key_table& table) const {
-    if (may_lack_moves(table)) {
-        const auto missed_eras = std::min(number_ - table.term.era, max_missed_eras);
-        table.last_fence += missed_eras * max_lost_fences;
-    }
+    const auto missed_eras = std::min(number_ - table.term.era, max_missed_eras);
+    table.last_fence += missed_eras * max_lost_fences;
 }
--- a/Source/cw_store_era.h
+++ b/Source/cw_store_era.h
@@ -22,8 +22,7 @@
     /// True if the table was last written in an earlier era, so that the store may have lost later
     /// claims and moves.
     [[nodiscard]] bool may_lack_moves(const cw_key_table& table) const;
-    /// Raises the last fence of a table of an earlier era above all fences that may have been
-    /// assigned after it was written.
+    /// Raises the last fence of a table that may lack moves above the fences of those moves.
     void skip_lost_fences(cw_key_table& table) const;
 
 private:
--- a/Source/cw_succession_reply.h
+++ b/Source/cw_succession_reply.h
@@ -7,10 +7,13 @@
 #include <string_view>
 
 /// An earlier steward's acknowledgement of its successor's notice; it identifies the process that
-/// sends it.
+/// sends it, and holds the owners that this process has known.
 struct cw_succession_reply {
     std::string host;
     std::uint64_t incarnation = 0;
+    /// JSON of the last table of the sender's stewardship; empty if the owners in the successor's
+    /// table are certain, or from a host of an earlier release.
+    std::string table{};
 
     /// The reply as JSON text.
     [[nodiscard]] std::string to_json() const;
--- /dev/null
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -0,0 +1,264 @@
+#include "cw_ownership_simulation.h"
+#include "cw_steward.h"
+
+#include <cstdint>
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longest wait for the grants of a steward of which nothing is known, and for a claim after that.
+constexpr auto longest_wait = 14s;
+
+/// Three hosts and six upstreams, and a store that comes back from a copy of before a move.
+struct drill {
+    cw_ownership_simulation simulation{7};
+
+    drill() {
+        start_hosts();
+        for (const char* id : {"u1", "u2", "u3", "u4", "u5", "u6"}) {
+            simulation.start_upstream(id);
+        }
+    }
+
+    void start_hosts() {
+        for (const char* host : {"a", "b", "c"}) {
+            simulation.start_host(host);
+        }
+    }
+
+    void kill_hosts() {
+        for (const auto& host : simulation.hosts()) {
+            simulation.kill_host(host);
+        }
+    }
+
+    void disconnect_from_hosts(const std::string& name) {
+        for (const auto& host : simulation.hosts()) {
+            simulation.disconnect(name, host);
+        }
+    }
+
+    /// Cuts an upstream off from all hosts until its keys have moved.
+    void move_keys_without_their_owner() {
+        simulation.run(4s);
+        REQUIRE(holds_keys("u3"));
+        disconnect_from_hosts("u3");
+        simulation.run(2'500ms);
+        REQUIRE_FALSE(holds_keys("u3"));
+    }
+
+    /// The store is away for half a second and comes back from a copy of before the move.
+    void restore_store_without_the_move() {
+        simulation.set_store_down(true);
+        simulation.run(500ms);
+        simulation.set_store_down(false);
+        simulation.restore_store(3'100ms);
+    }
+
+    /// Keeps the other hosts from the steward and the store, so that they know of no later move.
+    /// Returns the steward.
+    std::string isolate_followers() {
+        simulation.run(4s);
+        auto steward = simulation.steward();
+        for (const auto& host : simulation.hosts()) {
+            if (host != steward) {
+                simulation.disconnect(host, steward);
+                simulation.disconnect(host, "store");
+            }
+        }
+        return steward;
+    }
+
+    bool holds_keys(const std::string& id) const {
+        for (std::size_t sample = 0; sample < cw_ownership_simulation::samples; ++sample) {
+            if (simulation.holder(sample) == id) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void check_all_keys_are_held() const {
+        for (std::size_t sample = 0; sample < cw_ownership_simulation::samples; ++sample) {
+            CHECK_FALSE(simulation.holder(sample).empty());
+        }
+        for (const auto& violation : simulation.violations()) {
+            FAIL_CHECK(violation);
+        }
+    }
+};
+
+/// One host with a store that answers at once, and upstreams that refuse fences up to a given one.
+struct claiming_host {
+    static constexpr auto tick_interval = 50ms;
+
+    cw_boot_time now{1'000s};
+    cw_steward_id self{"h", 1, "h:1"};
+    cw_steward steward{"s", self, cw_steward_options{}, 1};
+    std::uint64_t era = 3;
+    std::uint64_t revision = 7;
+    std::optional<cw_key_table> stored;
+    std::uint64_t seen_fence = 0;
+    std::vector<cw_key_table> writes;
+    std::vector<cw_ownership_command> accepted_grants;
+
+    claiming_host() {
+        std::map<std::string, cw_upstream_entry> entries;
+        for (const char* id : {"u", "v"}) {
+            cw_upstream_entry entry;
+            entry.id = id;
+            entry.service = "s";
+            entry.address = entry.id + ":1";
+            entry.slots = 3;
+            entry.incarnation = 1;
+            entries.emplace(id, entry);
+        }
+        steward.on_upstreams(entries, now);
+    }
+
+    /// A table of the given era, of a steward that has resigned, in which "u" owns all keys with
+    /// fence 5.
+    static cw_key_table vacant_table(std::uint64_t table_era) {
+        cw_key_table table;
+        table.term = {table_era, 4};
+        table.edition = 9;
+        table.last_fence = 5;
+        table.ranges.front().owner = {"u", 1, "u:1"};
+        table.ranges.front().fence = 5;
+        return table;
+    }
+
+    void run(std::chrono::milliseconds length) {
+        for (const auto end = now + length; now < end; now += tick_interval) {
+            cw_steward::commands commands;
+            steward.on_tick(now, commands);
+            while (!commands.empty()) {
+                cw_steward::commands more;
+                for (const auto& command : commands) {
+                    std::visit([&](const auto& item) { execute(item, more); }, command);
+                }
+                commands = std::move(more);
+            }
+        }
+    }
+
+    void execute(const cw_ownership_command& command, cw_steward::commands& more) {
+        cw_ownership_command_ended ended;
+        ended.number = command.number;
+        ended.ended_at = now;
+        const bool is_grant = command.type == cw_ownership_command::kind::grant;
+        const bool is_refused = is_grant && command.fence < seen_fence;
+        ended.result =
+            is_refused ? cw_ownership_command_result::fenced : cw_ownership_command_result::done;
+        if (is_grant && !is_refused) {
+            accepted_grants.push_back(command);
+        }
+        steward.on_command_ended(ended, now, more);
+    }
+    void execute(const cw_write_table& command, cw_steward::commands& more) {
+        stored = *cw_key_table::parse(command.text);
+        writes.push_back(*stored);
+        ++revision;
+        answer(more);
+    }
+    void execute(const cw_read_table& /*command*/, cw_steward::commands& more) { answer(more); }
+    void execute(const cw_write_heartbeat& /*command*/, cw_steward::commands& /*more*/) {}
+    void execute(const cw_read_heartbeat& /*command*/, cw_steward::commands& /*more*/) {}
+    void execute(const cw_notify_predecessor& /*command*/, cw_steward::commands& /*more*/) {}
+
+    void answer(cw_steward::commands& more) {
+        steward.on_table_answer({cw_table_result::done, false, stored, revision, era, now}, now,
+                                more);
+    }
+};
+
+} // namespace
+
+// Guards against keys that come back to their former owner under a fence below that of the owner in
+// between, whose grant the store has lost (review/7).
+TEST_CASE_FIXTURE(drill, "owner_that_missed_a_lost_move_is_granted_its_keys_above_the_lost_fence") {
+    move_keys_without_their_owner();
+    kill_hosts();
+    restore_store_without_the_move();
+    simulation.run(1s);
+    start_hosts();
+    simulation.reconnect_all();
+    simulation.run(longest_wait);
+    check_all_keys_are_held();
+}
+
+// Guards against the same where one host, which has heard of no move, succeeds the steward.
+TEST_CASE_FIXTURE(drill, "successor_that_missed_a_lost_move_grants_keys_above_the_lost_fence") {
+    const auto steward = isolate_followers();
+    move_keys_without_their_owner();
+    simulation.kill_host(steward);
+    restore_store_without_the_move();
+    simulation.reconnect_all();
+    simulation.run(longest_wait + 2s);
+    check_all_keys_are_held();
+}
+
+// Guards against fences that are given out twice where the second copy is older than the first.
+TEST_CASE_FIXTURE(drill, "second_drill_from_an_older_copy_gives_no_key_back_under_a_lost_fence") {
+    move_keys_without_their_owner();
+    kill_hosts();
+    restore_store_without_the_move();
+    start_hosts();
+    simulation.run(1'500ms);
+    kill_hosts();
+    simulation.restore_store(5'500ms);
+    start_hosts();
+    simulation.reconnect_all();
+    simulation.run(longest_wait);
+    check_all_keys_are_held();
+}
+
+// Guards against a successor that goes by the word of the steward of before, and not by its moves.
+TEST_CASE_FIXTURE(drill, "successor_that_is_acknowledged_goes_by_the_moves_of_the_steward_before") {
+    const auto steward = isolate_followers();
+    move_keys_without_their_owner();
+    simulation.reconnect_all();
+    simulation.disconnect(steward, "store");
+    disconnect_from_hosts(steward);
+    restore_store_without_the_move();
+    simulation.run(2'500ms);
+    CHECK(simulation.stewards().size() == 2);
+    simulation.reconnect_all();
+    simulation.disconnect(steward, "store");
+    simulation.reset_unheld_time();
+    simulation.run(4s);
+    CHECK(simulation.stewards().size() == 1);
+    CHECK(simulation.steward() != steward);
+    // The wait for the last grants of the steward of before is 1,540 ms.
+    CHECK(simulation.max_unheld_time() <= 1'540ms);
+    check_all_keys_are_held();
+}
+
+// Guards against a successor that goes by its own older copy once it has been acknowledged, or that
+// raises fences which owners refuse because an unknown steward has moved their keys.
+TEST_CASE_FIXTURE(claiming_host, "acknowledged_successor_grants_the_owners_and_fences_of_before") {
+    stored = vacant_table(2);
+    stored->steward = {"g", 1, "g:1"};
+    const auto before = std::make_shared<cw_key_table>(*stored);
+    before->ranges.front().owner = {"v", 1, "v:1"};
+    before->ranges.front().fence = 6;
+    run(100ms);
+    steward.on_report_result(cw_report_result::refused, now);
+    run(2s);
+    REQUIRE(steward.is_steward());
+    CHECK(accepted_grants.empty());
+    steward.on_succession_ack({before->steward, steward.table().term, before}, now);
+    run(2s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().upstream.id == "v");
+    CHECK(accepted_grants.front().fence == 6);
+    CHECK(steward.table().last_fence > 1'000'000);
+}
--- a/Tests/Gateway/cw_gateway_sync_test.cpp
+++ b/Tests/Gateway/cw_gateway_sync_test.cpp
@@ -149,8 +149,24 @@
         cw_host_report report;
         report.service = service;
         report.host = "front-9";
+        return post(target, report.to_json());
+    }
+
+    /// The body of the answer to a successor whose table is the given one. This host adopts it at
+    /// once, and its own last table is moved_table(1).
+    std::string answer_to_successor(const cw_key_table& table) {
+        auto view = std::make_shared<cw_gateway_view>();
+        view->tables.emplace(service, std::make_shared<const cw_key_table>(table));
+        view->last_own_tables.emplace(service,
+                                      std::make_shared<const cw_key_table>(moved_table(1)));
+        sync.on_view(view);
+        sync.start();
+        return post("/v1/succession?service=" + service, table.to_json());
+    }
+
+    std::string post(const std::string& target, std::string content) {
         cw_http_request request{http::verb::post, target, 11};
-        request.body() = report.to_json();
+        request.body() = std::move(content);
         std::string body;
         cw_http_client client{context};
         boost::asio::co_spawn(
@@ -283,6 +299,30 @@
     CHECK(table->ranges == moved_table(1).ranges);
 }
 
+// Guards against a successor that learns from the steward of before that it grants no more, and not
+// which moves the store has lost.
+TEST_CASE_FIXTURE(stewarding_host,
+                  "successor_whose_owners_are_uncertain_is_answered_with_the_last_own_table") {
+    auto successor_table = moved_table(3);
+    successor_table.term = {2, 4};
+    const auto reply = cw_succession_reply::parse(answer_to_successor(successor_table));
+    REQUIRE(reply);
+    CHECK(reply->incarnation == self.incarnation);
+    const auto table = cw_key_table::parse(reply->table);
+    REQUIRE(table);
+    CHECK(table->ranges == moved_table(1).ranges);
+}
+
+TEST_CASE_FIXTURE(stewarding_host,
+                  "successor_whose_owners_are_certain_is_answered_without_a_table") {
+    auto successor_table = moved_table(3);
+    successor_table.term = {2, 4};
+    successor_table.are_owners_uncertain = false;
+    const auto reply = cw_succession_reply::parse(answer_to_successor(successor_table));
+    REQUIRE(reply);
+    CHECK(reply->table.empty());
+}
+
 // Guards against changes of key tables that do not fit through a steward's link together.
 TEST_CASE("changes_of_a_wave_of_moves_for_all_hosts_are_small_enough_for_a_link_of_200_mbit") {
     constexpr std::size_t hosts = 195;
@@ -356,7 +396,8 @@
         CHECK_MESSAGE(!cw_steward_reply::parse(text), std::string{text});
     }
     for (const auto* text :
-         {"", "{}", R"({"host":1,"incarnation":2})", R"({"host":"a","incarnation":"b"})"}) {
+         {"", "{}", R"({"host":1,"incarnation":2})", R"({"host":"a","incarnation":"b"})",
+          R"({"host":"a","incarnation":2,"table":7})"}) {
         CHECK_MESSAGE(!cw_succession_reply::parse(text), std::string{text});
     }
 }
--- a/Tests/Gateway/cw_ownership_simulation.cpp
+++ b/Tests/Gateway/cw_ownership_simulation.cpp
@@ -16,7 +16,7 @@
 constexpr auto release_timeout = 4'000ms;
 constexpr auto store_timeout = 800ms;
 constexpr auto copy_interval = 100ms;
-constexpr auto max_copy_age = 6'000ms;
+constexpr auto max_copy_age = 10'000ms;
 constexpr std::uint64_t max_sender_delay_ms = 800;
 /// Number of answers to grants after which one closes its connection.
 constexpr std::uint64_t closing_interval = 40;
@@ -86,7 +86,6 @@
 void cw_ownership_simulation::restore_store(std::chrono::milliseconds age) {
     const auto later = store_copies_.upper_bound(now_ - age);
     store_ = (later == store_copies_.begin() ? later : std::prev(later))->second;
-    store_copies_.clear();
     store_copies_[now_] = store_;
     ++store_era_;
     for (const auto& [name, host] : hosts_) {
@@ -578,9 +577,10 @@
         const auto table = *cw_key_table::parse(command.table);
         deliver(command.to.host, command.to.incarnation, [=, this](auto& earlier, auto&) {
             earlier.steward.on_succession(table, now_);
+            const cw_succession_ack ack{command.to, command.term, earlier.steward.last_own_table()};
             schedule(message_delay, [=, this] {
                 deliver(from, incarnation, [=, this](auto& receiver, auto&) {
-                    receiver.steward.on_succession_ack({command.to, command.term}, now_);
+                    receiver.steward.on_succession_ack(ack, now_);
                 });
             });
         });
--- a/Tests/Gateway/cw_ownership_simulation.h
+++ b/Tests/Gateway/cw_ownership_simulation.h
@@ -59,9 +59,10 @@
     void disconnect(const std::string& host, const std::string& other);
     void reconnect_all();
     void set_store_down(bool down) { store_down_ = down; }
-    /// The store comes back from a copy of the given age, 6 s at most: claims, moves and heartbeats
-    /// since are lost, revisions are given out again, and the era rises. Hosts that reach the store
-    /// learn of it within a second.
+    /// The store comes back from a copy of the given age, 10 s at most: claims, moves and
+    /// heartbeats since are lost, revisions are given out again, and the era rises. The copy may be
+    /// older than that of the restore before. Hosts that reach the store learn of it within a
+    /// second.
     void restore_store(std::chrono::milliseconds age);
     /// Share of the table writes that take effect but whose answer is lost.
     void set_lost_replies(double share) { lost_replies_ = share; }
--- a/Tests/Gateway/cw_steward_schedule.cpp
+++ b/Tests/Gateway/cw_steward_schedule.cpp
@@ -28,7 +28,8 @@
     for (int i = 0; i < upstream_count; ++i) {
         simulation_.start_upstream(upstream_name(i));
     }
-    simulation_.run(3s);
+    loses_first_table_ = kinds_ == faults::with_drills && engine_() % 3 == 0;
+    simulation_.run(loses_first_table_ ? 1'500ms : 3'000ms);
     if (kinds_ == faults::with_late_senders) {
         simulation_.set_late_senders(0.1);
     }
@@ -61,6 +62,7 @@
 }
 
 void cw_steward_schedule::inject_fault() {
+    constexpr std::uint64_t drill_share = 4;
     constexpr std::uint64_t restore_share = 5;
     constexpr std::uint64_t domain_cut_share = 3;
     constexpr std::uint64_t stale_steward_share = 4;
@@ -68,6 +70,9 @@
     constexpr std::uint64_t lease_change_share = 3;
     if (kinds_ == faults::with_restores && engine_() % restore_share == 0) {
         restore_store();
+    } else if (kinds_ == faults::with_drills &&
+               (loses_first_table_ || engine_() % drill_share == 0)) {
+        drill();
     } else if ((kinds_ == faults::with_domain_cuts || kinds_ == faults::with_late_senders) &&
                engine_() % domain_cut_share == 0) {
         cut_domain();
@@ -95,6 +100,76 @@
     simulation_.set_store_down(false);
 }
 
+void cw_steward_schedule::drill() {
+    // Older than the first table when the simulation has just begun.
+    const std::chrono::milliseconds oldest{loses_first_table_ ? 6'000 : 0};
+    loses_first_table_ = false;
+    disconnect_from_hosts(random_upstream());
+    const std::chrono::milliseconds cut{1'800 + engine_() % 2'600};
+    simulation_.run(cut);
+    const std::chrono::milliseconds outage{engine_() % 900};
+    const auto age = std::max(oldest, cut + outage + std::chrono::milliseconds{engine_() % 500});
+    simulation_.set_store_down(true);
+    disturb_hosts();
+    simulation_.run(outage);
+    simulation_.restore_store(age);
+    simulation_.set_store_down(false);
+    simulation_.run(1'000ms);
+    start_missing_hosts();
+    if (engine_() % 3 == 0) {
+        const std::chrono::milliseconds pause{engine_() % 2'500};
+        simulation_.run(pause);
+        disturb_hosts();
+        simulation_.restore_store(age + 1'100ms + pause);
+        simulation_.run(1'000ms);
+        start_missing_hosts();
+    }
+    simulation_.run(std::chrono::milliseconds{engine_() % 4'000});
+    simulation_.reconnect_all();
+}
+
+void cw_steward_schedule::disturb_hosts() {
+    const auto steward = simulation_.steward();
+    switch (engine_() % 6) {
+    case 0:
+    case 1:
+        for (const auto& host : simulation_.hosts()) {
+            simulation_.kill_host(host);
+        }
+        break;
+    case 2:
+        simulation_.kill_host(steward);
+        break;
+    case 3:
+        if (!steward.empty()) {
+            simulation_.freeze_host(steward, 4s);
+        }
+        break;
+    case 4:
+        if (!steward.empty()) {
+            simulation_.disconnect(steward, "store");
+            disconnect_from_hosts(steward);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void cw_steward_schedule::start_missing_hosts() {
+    for (int i = 0; i < host_count; ++i) {
+        if (!is_running(host_name(i))) {
+            simulation_.start_host(host_name(i));
+        }
+    }
+}
+
+void cw_steward_schedule::disconnect_from_hosts(const std::string& name) {
+    for (int i = 0; i < host_count; ++i) {
+        simulation_.disconnect(name, host_name(i));
+    }
+}
+
 void cw_steward_schedule::cut_domain() {
     simulation_.reconnect_all();
     const auto domain = static_cast<int>(engine_() % host_count);
@@ -125,9 +200,7 @@
         simulation_.freeze_host(steward, std::chrono::milliseconds{3'500 + engine_() % 3'000});
     } else {
         simulation_.disconnect(steward, "store");
-        for (int other = 0; other < host_count; ++other) {
-            simulation_.disconnect(steward, host_name(other));
-        }
+        disconnect_from_hosts(steward);
     }
     simulation_.run(2'200ms);
     constexpr double hot_key_rate = 400.0;
@@ -198,10 +271,6 @@
         simulation_.drain_upstream(random_upstream());
         break;
     default:
-        for (int i = 0; i < host_count; ++i) {
-            if (!is_running(host_name(i))) {
-                simulation_.start_host(host_name(i));
-            }
-        }
+        start_missing_hosts();
     }
 }
--- a/Tests/Gateway/cw_steward_schedule.h
+++ b/Tests/Gateway/cw_steward_schedule.h
@@ -23,7 +23,10 @@
         /// Also stewards that stop gracefully.
         with_stops,
         /// As with_stale_stewards, and the length of the leases changes with the configuration.
-        with_lease_changes
+        with_lease_changes,
+        /// Also drills: the store comes back from a copy of before a move away from an upstream
+        /// that was cut off, or of before the first table, and most often without the steward.
+        with_drills
     };
 
     explicit cw_steward_schedule(std::uint64_t seed, faults kinds = faults::basic);
@@ -41,6 +44,14 @@
     void inject_basic_fault();
     /// The store is away for a moment and comes back from an older copy.
     void restore_store();
+    /// Cuts an upstream off from all hosts until its keys have moved. The store then comes back, at
+    /// random twice, from a copy of before, while something happens to the hosts.
+    void drill();
+    /// Ends the steward or keeps it from the store and the other hosts at random; or ends all hosts
+    /// and starts them again a second later.
+    void disturb_hosts();
+    void start_missing_hosts();
+    void disconnect_from_hosts(const std::string& name);
     /// Cuts one failure domain off from all others, and at random from the store; ends other cuts.
     void cut_domain();
     /// The steward is suspended, or cut off from the store and from all other hosts but not from
@@ -52,4 +63,6 @@
     faults kinds_;
     std::mt19937_64 engine_;
     cw_ownership_simulation simulation_;
+    /// True if the first fault is a drill in which the store comes back from an empty copy.
+    bool loses_first_table_ = false;
 };
--- a/Tests/Gateway/cw_steward_schedule_main.cpp
+++ b/Tests/Gateway/cw_steward_schedule_main.cpp
@@ -6,7 +6,8 @@
 /// ones: --restores, the store comes back from older copies; --domain-cuts, failure domains are cut
 /// off; --stale-stewards, stewards miss their succession; --late-senders, failure domains are cut
 /// off and commands wait for their sender's thread; --stops, stewards stop gracefully;
-/// --lease-changes, as --stale-stewards, and leases change their length.
+/// --lease-changes, as --stale-stewards, and leases change their length; --drills, keys move or are
+/// granted first, and the store comes back from a copy of before, most often without the steward.
 
 #include "cw_steward_schedule.h"
 
@@ -24,7 +25,8 @@
         {"--stale-stewards", cw_steward_schedule::faults::with_stale_stewards},
         {"--late-senders", cw_steward_schedule::faults::with_late_senders},
         {"--stops", cw_steward_schedule::faults::with_stops},
-        {"--lease-changes", cw_steward_schedule::faults::with_lease_changes}};
+        {"--lease-changes", cw_steward_schedule::faults::with_lease_changes},
+        {"--drills", cw_steward_schedule::faults::with_drills}};
     auto faults = cw_steward_schedule::faults::basic;
     if (const auto kind = words.empty() ? kinds.end() : kinds.find(words.front());
         kind != kinds.end()) {
@@ -33,7 +35,7 @@
     }
     if (words.empty()) {
         std::cerr << "usage: cw_steward_schedules [--restores | --domain-cuts | --stale-stewards | "
-                     "--late-senders | --stops | --lease-changes] SEED [COUNT]\n";
+                     "--late-senders | --stops | --lease-changes | --drills] SEED [COUNT]\n";
         return 2;
     }
     const auto first = std::strtoull(words[0].c_str(), nullptr, 10);
--- a/Tests/Mutations/run_mutations.sh
+++ b/Tests/Mutations/run_mutations.sh
@@ -30,7 +30,7 @@
 first_failing_seed() {
     local shards shard kind program
     shards=$(nproc)
-    for kind in ownership steward restores stale-stewards late-senders; do
+    for kind in ownership steward restores stale-stewards late-senders drills; do
         case $kind in
         ownership | steward) program=("$1.$kind") ;;
         *) program=("$1.steward" "--$kind") ;;
