Do not take the word of a steward with uncertain owners for the proof of owners

What callers would see: keys with two holders, and grants under fences below those of others, where two hosts succeed each other soon after a drill while the steward of before is cut off and still grants.

Cause: the first successor claims over the older copy and waits for the steward of before. When it is succeeded itself in that time, it acknowledges, and the second successor took this for the word of a steward that had been the steward all the time: it granted after 1.54 s, within the tenure of the one that was cut off.

Change: an acknowledgement proves the owners only if its table says that they were certain; else the second successor waits for the full tenure, as the first did.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -131,10 +131,11 @@
         return;
     }
     predecessors_.on_succession_ack(event.predecessor);
-    // It was the steward all the time, so nobody else has moved keys, and its table holds its own
-    // moves that the store has lost.
+    // If its owners were certain, it was the steward all the time: nobody else has moved keys, and
+    // its table holds its own moves that the store has lost.
     const bool proves_owners = event.predecessor == succeeded_ && event.table != nullptr &&
-                               event.table->steward == succeeded_;
+                               event.table->steward == succeeded_ &&
+                               !event.table->are_owners_uncertain;
     if (is_steward() && table_.are_owners_uncertain && proves_owners && !succeeded_table_) {
         succeeded_table_ = event.table;
         owners_certain_at_ = now + predecessors_.max_proved_wait();
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -262,3 +262,23 @@
     CHECK(accepted_grants.front().fence == 6);
     CHECK(steward.table().last_fence > 1'000'000);
 }
+
+// Guards against the word of a steward that waited itself for the grants of an unknown one.
+TEST_CASE_FIXTURE(drill, "acknowledgement_of_a_steward_with_uncertain_owners_proves_no_owner") {
+    const auto first = isolate_followers();
+    move_keys_without_their_owner();
+    simulation.reconnect_all();
+    simulation.disconnect(first, "store");
+    disconnect_from_hosts(first);
+    restore_store_without_the_move();
+    simulation.run(2'500ms);
+    for (const auto& host : simulation.stewards()) {
+        if (host != first) {
+            simulation.disconnect(host, "store");
+        }
+    }
+    simulation.run(6s);
+    simulation.reconnect_all();
+    simulation.run(longest_wait);
+    check_all_keys_are_held();
+}
