Do not take the word of a steward that had been succeeded for the proof of owners

What callers would see: keys with two holders after a drill that loses a succession: the steward of before that the older copy names has been succeeded, and its successor is cut off and still grants.

Cause: the steward that the copy names acknowledges the new claim as it acknowledged its true successor. Its word proves that it grants no more, not that nobody granted after it.

Change: a host keeps the term by which it learned of the end of its stewardship (cw_ended_stewardship), and sends its last table with an acknowledgement only to the steward of that term. Without it the claimant waits for the full tenure. One table a former steward and service is kept in memory; no message is added.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -500,9 +500,7 @@
     view->evacuations.services_without_upstreams = services_without_upstreams_;
     for (const auto& [service, steward] : stewards_) {
         view->tables.emplace(service, current_table(service, *steward));
-        if (auto own_table = steward->last_own_table()) {
-            view->last_own_tables.emplace(service, std::move(own_table));
-        }
+        view->ended_stewardships.emplace(service, steward->ended_stewardship());
     }
     return view;
 }
--- a/Source/cw_gateway_sync.cpp
+++ b/Source/cw_gateway_sync.cpp
@@ -310,8 +310,9 @@
     const bool has_adopted_table = co_await wait_for_view(
         deadline_in(report_interval), [&] { return has_reached_term(service, term); });
     cw_succession_reply reply{self_.host, self_.incarnation};
-    if (has_adopted_table && requests_own_table && view_->last_own_tables.contains(service)) {
-        reply.table = view_->last_own_tables.at(service)->to_compact_json();
+    if (has_adopted_table && requests_own_table) {
+        const auto own_table = own_table_before(service, term);
+        reply.table = own_table == nullptr ? std::string{} : own_table->to_compact_json();
     }
     co_return cw_make_response(has_adopted_table ? http::status::ok : http::status::conflict,
                                reply.to_json());
@@ -401,6 +402,12 @@
     return table != nullptr && table->term >= term;
 }
 
+std::shared_ptr<const cw_key_table> cw_gateway_sync::own_table_before(const std::string& service,
+                                                                      const cw_term& term) const {
+    const auto ended = view_->ended_stewardships.find(service);
+    return ended == view_->ended_stewardships.end() ? nullptr : ended->second.table_before(term);
+}
+
 bool cw_gateway_sync::requests_successor(const std::string& service) const {
     return view_ != nullptr && view_->requesting_successor.contains(service);
 }
--- a/Source/cw_gateway_sync.h
+++ b/Source/cw_gateway_sync.h
@@ -114,6 +114,10 @@
     [[nodiscard]] std::shared_ptr<const cw_key_table> table_of(const std::string& service) const;
     /// True when the known table is of the given term or a later one.
     [[nodiscard]] bool has_reached_term(const std::string& service, const cw_term& term) const;
+    /// The last table of this host's stewardship if the steward of the given term followed at once;
+    /// else null.
+    [[nodiscard]] std::shared_ptr<const cw_key_table> own_table_before(const std::string& service,
+                                                                       const cw_term& term) const;
     /// True when this host is the service's steward and requests a successor, since the store does
     /// not answer it.
     [[nodiscard]] bool requests_successor(const std::string& service) const;
--- a/Source/cw_gateway_view.h
+++ b/Source/cw_gateway_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cw_crash_counts.h"
+#include "cw_ended_stewardship.h"
 #include "cw_evacuation_view.h"
 #include "cw_key_table.h"
 #include "cw_reader_ranking.h"
@@ -26,8 +27,8 @@
     std::shared_ptr<const cw_upstream_lists> upstreams = std::make_shared<cw_upstream_lists>();
     /// Key tables by service.
     std::map<std::string, std::shared_ptr<const cw_key_table>> tables;
-    /// The last tables of this host's stewardships that have ended, by service.
-    std::map<std::string, std::shared_ptr<const cw_key_table>> last_own_tables;
+    /// This host's last stewardships that have ended, by service.
+    std::map<std::string, cw_ended_stewardship> ended_stewardships;
     /// Hosts that share the retry budget, this one included; 0 while their number is unknown.
     std::uint32_t hosts = 1;
     /// Requests that crashed upstreams; never null. Views share one object as long as it has not
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -807,7 +807,7 @@
         failure_detector_.reset(now);
     }
     if (was_steward && table.steward != self_) {
-        last_own_table_ = std::make_shared<const cw_key_table>(std::move(table_));
+        ended_stewardship_ = {std::make_shared<const cw_key_table>(std::move(table_)), table.term};
     }
     table_ = table;
     note_lease(table_.longest_lease);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cw_ended_stewardship.h"
 #include "cw_key_balancer.h"
 #include "cw_pending_commands.h"
 #include "cw_predecessors.h"
@@ -91,9 +92,9 @@
     /// The latest known table, in which settled moves are marked as such even if the store's copy
     /// lacks that. Its term is 0 if no table is known.
     [[nodiscard]] const cw_key_table& table() const { return table_; }
-    /// The last table of this host's last stewardship that has ended; null if there was none.
-    [[nodiscard]] std::shared_ptr<const cw_key_table> last_own_table() const {
-        return last_own_table_;
+    /// This host's last stewardship that has ended.
+    [[nodiscard]] const cw_ended_stewardship& ended_stewardship() const {
+        return ended_stewardship_;
     }
     /// True if the latest known table names this process as the steward.
     [[nodiscard]] bool is_steward() const;
@@ -211,7 +212,7 @@
     cw_store_era store_era_;
     /// True if this host is the steward and the store's copy lacks its term.
     bool is_table_lost_ = false;
-    std::shared_ptr<const cw_key_table> last_own_table_;
+    cw_ended_stewardship ended_stewardship_;
     /// The steward of the table over which this host has claimed; empty if it had resigned.
     cw_steward_id succeeded_;
     /// The last table of that steward, which has acknowledged the succession; none if it has not,
--- a/Source/cw_steward_event.h
+++ b/Source/cw_steward_event.h
@@ -91,7 +91,7 @@
     cw_steward_id predecessor;
     /// The successor's term.
     cw_term term;
-    /// The last table of the predecessor's stewardship; none from a host of an earlier release, or
-    /// if the owners in the successor's table are certain.
+    /// The last table of the predecessor's stewardship; none from a host of an earlier release, if
+    /// the owners in the successor's table are certain, or if another steward was in between.
     std::shared_ptr<const cw_key_table> table = nullptr;
 };
--- a/Source/cw_succession_reply.h
+++ b/Source/cw_succession_reply.h
@@ -12,7 +12,7 @@
     std::string host;
     std::uint64_t incarnation = 0;
     /// JSON of the last table of the sender's stewardship; empty if the owners in the successor's
-    /// table are certain, or from a host of an earlier release.
+    /// table are certain, if another steward was in between, or from a host of an earlier release.
     std::string table{};
 
     /// The reply as JSON text.
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -282,3 +282,42 @@
     simulation.run(longest_wait);
     check_all_keys_are_held();
 }
+
+// Guards against the word of a former steward that has been succeeded, which the store has lost.
+TEST_CASE_FIXTURE(drill, "acknowledgement_of_a_steward_that_was_succeeded_before_proves_no_owner") {
+    simulation.run(4s);
+    const auto first = simulation.steward();
+    std::string second;
+    std::string third;
+    for (const auto& host : simulation.hosts()) {
+        if (host != first) {
+            second = third;
+            third = host;
+        }
+    }
+    disconnect_from_hosts(third);
+    simulation.disconnect(third, "store");
+    simulation.disconnect(first, "store");
+    simulation.run(4s);
+    REQUIRE(simulation.steward() == second);
+    disconnect_from_hosts("u3");
+    simulation.run(3s);
+    REQUIRE_FALSE(holds_keys("u3"));
+    // The store loses the succession. The second steward goes on, and only the third host, which
+    // knows of the first, reaches the store.
+    simulation.reconnect_all();
+    simulation.disconnect(first, "store");
+    simulation.disconnect(second, "store");
+    disconnect_from_hosts(second);
+    simulation.disconnect(first, third);
+    simulation.restore_store(7'500ms);
+    simulation.run(3s);
+    simulation.reconnect_all();
+    simulation.disconnect(first, "store");
+    simulation.disconnect(second, "store");
+    disconnect_from_hosts(second);
+    simulation.run(4s);
+    simulation.reconnect_all();
+    simulation.run(longest_wait);
+    check_all_keys_are_held();
+}
--- a/Tests/Gateway/cw_gateway_sync_test.cpp
+++ b/Tests/Gateway/cw_gateway_sync_test.cpp
@@ -154,11 +154,13 @@
 
     /// The body of the answer to a successor whose table is the given one. This host adopts it at
     /// once, and its own last table is moved_table(1).
-    std::string answer_to_successor(const cw_key_table& table) {
+    /// `successor` is the term of the steward that followed it.
+    std::string answer_to_successor(const cw_key_table& table, const cw_term& successor) {
         auto view = std::make_shared<cw_gateway_view>();
         view->tables.emplace(service, std::make_shared<const cw_key_table>(table));
-        view->last_own_tables.emplace(service,
-                                      std::make_shared<const cw_key_table>(moved_table(1)));
+        view->ended_stewardships.emplace(
+            service,
+            cw_ended_stewardship{std::make_shared<const cw_key_table>(moved_table(1)), successor});
         sync.on_view(view);
         sync.start();
         return post("/v1/succession?service=" + service, table.to_json());
@@ -305,7 +307,8 @@
                   "successor_whose_owners_are_uncertain_is_answered_with_the_last_own_table") {
     auto successor_table = moved_table(3);
     successor_table.term = {2, 4};
-    const auto reply = cw_succession_reply::parse(answer_to_successor(successor_table));
+    const auto reply =
+        cw_succession_reply::parse(answer_to_successor(successor_table, successor_table.term));
     REQUIRE(reply);
     CHECK(reply->incarnation == self.incarnation);
     const auto table = cw_key_table::parse(reply->table);
@@ -318,7 +321,18 @@
     auto successor_table = moved_table(3);
     successor_table.term = {2, 4};
     successor_table.are_owners_uncertain = false;
-    const auto reply = cw_succession_reply::parse(answer_to_successor(successor_table));
+    const auto reply =
+        cw_succession_reply::parse(answer_to_successor(successor_table, successor_table.term));
+    REQUIRE(reply);
+    CHECK(reply->table.empty());
+}
+
+// Guards against a successor that goes by the table of a steward which another one had followed.
+TEST_CASE_FIXTURE(stewarding_host, "successor_after_another_steward_is_answered_without_a_table") {
+    auto successor_table = moved_table(3);
+    successor_table.term = {2, 4};
+    const auto reply =
+        cw_succession_reply::parse(answer_to_successor(successor_table, cw_term{1, 5}));
     REQUIRE(reply);
     CHECK(reply->table.empty());
 }
--- a/Tests/Gateway/cw_ownership_simulation.cpp
+++ b/Tests/Gateway/cw_ownership_simulation.cpp
@@ -577,7 +577,9 @@
         const auto table = *cw_key_table::parse(command.table);
         deliver(command.to.host, command.to.incarnation, [=, this](auto& earlier, auto&) {
             earlier.steward.on_succession(table, now_);
-            const cw_succession_ack ack{command.to, command.term, earlier.steward.last_own_table()};
+            const cw_succession_ack ack{
+                command.to, command.term,
+                earlier.steward.ended_stewardship().table_before(command.term)};
             schedule(message_delay, [=, this] {
                 deliver(from, incarnation, [=, this](auto& receiver, auto&) {
                     receiver.steward.on_succession_ack(ack, now_);
