Begin the fences of a first table above those of earlier eras

What callers would see: a service that is a few seconds old when the store goes back to before its first table, with all gateways killed: fences begin again from 1, and an instance that was cut off while its keys moved takes them under a fence below those in between. With several drills in a row and upstreams that have seen 1,000,010, the steward also raised refused fences by 65 a table write.

Cause: begin_term() continued the fences of the table that it found; where there was none, from 0, in every era.

Change: an era has a first fence, its number times 1,000,000, and no table of that era assigns a lower one. Fences of a table with a history still continue 1,000,000 higher by each missed era, whichever is more: an era may last for years. The delay of the first plan, which took a last fence of 0 for a new service, now asks whether any range has an owner. No state, message or store call is added.

Why this works: a store that lacks the first table went back to before it, seconds ago, so all its fences were given out in earlier eras, each within 1,000,000 of the era's first one.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -358,12 +358,12 @@
         if (std::find(known.begin(), known.end(), cw_steward_id::unknown()) == known.end()) {
             table.predecessors.push_back(cw_steward_id::unknown());
         }
-        store_era_.skip_lost_fences(table);
+    }
+    store_era_.skip_lost_fences(table);
+    if (store_era_.may_lack_moves(table) && table.are_owners_uncertain) {
         // An unknown steward may have moved any range away and back under higher fences. A steward
         // that goes on keeps its fences: owners that refuse them show that there was one.
-        if (table.are_owners_uncertain) {
-            table.renew_fences();
-        }
+        table.renew_fences();
     }
     table.term = {store_era_.number(), table.term.number + 1};
     table.names_era = true;
@@ -738,7 +738,9 @@
 }
 
 void cw_steward::plan_moves(cw_boot_time now, commands& out) {
-    const bool is_first_plan = table_.last_fence == 0;
+    const bool is_first_plan =
+        std::none_of(table_.ranges.begin(), table_.ranges.end(),
+                     [](const auto& range) { return !range.owner.id.empty(); });
     if (upstreams_.empty() ||
         (is_first_plan && now < upstreams_grew_at_ + options_.initial_grant_delay)) {
         return;
--- a/Source/cw_store_era.cpp
+++ b/Source/cw_store_era.cpp
@@ -8,8 +8,10 @@
 
 /// More than the fences that can be assigned in the time that one older copy of the store lacks.
 constexpr std::uint64_t max_lost_fences = 1'000'000;
-/// Eras for which fences are skipped at most, so that fences stay far below 2^53.
+/// Eras that a table can have missed at most, and eras at most whose number counts, so that fences
+/// stay below 2^53.
 constexpr std::uint64_t max_missed_eras = 1'000;
+constexpr std::uint64_t max_counted_eras = 4'000'000'000;
 
 } // namespace
 
@@ -25,6 +27,12 @@
 }
 
 void cw_store_era::skip_lost_fences(cw_key_table& table) const {
+    if (table.term.era >= number_) {
+        return;
+    }
     const auto missed_eras = std::min(number_ - table.term.era, max_missed_eras);
-    table.last_fence += missed_eras * max_lost_fences;
+    // An empty table has no fence from which to continue: what the store has lost began in an
+    // earlier era, and so below the first fence of this one.
+    const auto first_fence = std::min(number_, max_counted_eras) * max_lost_fences;
+    table.last_fence = std::max(table.last_fence + missed_eras * max_lost_fences, first_fence);
 }
--- a/Source/cw_store_era.h
+++ b/Source/cw_store_era.h
@@ -22,7 +22,8 @@
     /// True if the table was last written in an earlier era, so that the store may have lost later
     /// claims and moves.
     [[nodiscard]] bool may_lack_moves(const cw_key_table& table) const;
-    /// Raises the last fence of a table that may lack moves above the fences of those moves.
+    /// Raises the last fence of a table of an earlier era, or of an empty one, above all fences
+    /// that were given out in earlier eras and that the store may have lost.
     void skip_lost_fences(cw_key_table& table) const;
 
 private:
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -321,3 +321,34 @@
     simulation.run(longest_wait);
     check_all_keys_are_held();
 }
+
+// Guards against fences that begin again from 1 when the store has lost the first table.
+TEST_CASE_FIXTURE(drill, "keys_are_granted_above_lost_fences_after_the_first_table_was_lost") {
+    simulation.run(1'500ms);
+    REQUIRE(holds_keys("u3"));
+    disconnect_from_hosts("u3");
+    simulation.run(2'400ms);
+    REQUIRE_FALSE(holds_keys("u3"));
+    kill_hosts();
+    simulation.restore_store(10s);
+    simulation.run(1s);
+    start_hosts();
+    simulation.reconnect_all();
+    simulation.run(longest_wait + 2s);
+    check_all_keys_are_held();
+}
+
+TEST_CASE_FIXTURE(claiming_host, "fences_of_a_first_table_begin_above_those_of_all_earlier_eras") {
+    run(14s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().fence > 3'000'000);
+}
+
+// Guards against fences that are counted by eras only: an era may last for years.
+TEST_CASE_FIXTURE(claiming_host, "fences_of_a_table_with_many_moves_continue_above_its_lost_ones") {
+    stored = vacant_table(2);
+    stored->last_fence = 50'000'000;
+    run(14s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().fence > 51'000'000);
+}
