Wait for the steward of before where the store has lost its first table

What callers would see: keys with two holders in the first seconds of a service: the store goes back to before the first table while its steward is cut off from it and still grants.

Cause: a host that found no table claimed at once and granted after 1.54 s ("earlier grants end within 1540 ms"), as for a new service. docs/PLATFORM.md listed it as not covered.

Change: no table in an era above the first may mean a lost one. The claim then counts on an unknown steward, as a claim over a table of an earlier era does: 1 s for the steward of before to write its table again, nothing is granted for tenure + lease (12.0 s). A host that has known the era for that long grants a new service at once; the control state passes the era and the time at which it was learned to the stewards of services that are added later. Bounded: a first start of all hosts in an era above 1 waits once for 12.0 s.

Evidence: host_that_finds_no_table_after_a_drill_awaits_the_steward_of_before fails before (13 samples held by two upstreams, 7 grants under fences that are not above) and holds after.

--- a/Source/cw_gateway_control.cpp
+++ b/Source/cw_gateway_control.cpp
@@ -122,6 +122,7 @@
         std::make_unique<cw_steward>(service, self_, options_, random_seed_ + stewards_.size());
     steward->on_upstreams(steward_entries(), now);
     steward->set_reader(is_reader());
+    steward->on_store_era(store_era_.number(), store_era_.seen_at());
     stewards_.emplace(service, std::move(steward));
 }
 
@@ -225,6 +226,7 @@
     record_event("store came back from an older copy", self_.host,
                  "era " + std::to_string(event.era));
     directory_.defer_removals(now);
+    store_era_.on_named(event.era, now);
     for (auto& [service, steward] : stewards_) {
         steward->on_store_era(event.era, now);
         steward->on_tick(now, commands_);
@@ -239,8 +241,10 @@
     if (const auto* command = std::get_if<cw_ownership_command_ended>(&event.payload)) {
         steward->on_command_ended(*command, now, commands_);
     } else if (const auto* table = std::get_if<cw_table_answer>(&event.payload)) {
+        store_era_.on_named(table->era, now);
         steward->on_table_answer(*table, now, commands_);
     } else if (const auto* heartbeat = std::get_if<cw_heartbeat_answer>(&event.payload)) {
+        store_era_.on_named(heartbeat->era, now);
         steward->on_heartbeat_answer(*heartbeat, now);
     } else if (const auto* report_result = std::get_if<cw_report_result>(&event.payload)) {
         steward->on_report_result(*report_result, now);
--- a/Source/cw_gateway_control.h
+++ b/Source/cw_gateway_control.h
@@ -6,6 +6,7 @@
 #include "cw_gateway_view.h"
 #include "cw_reader_chooser.h"
 #include "cw_steward.h"
+#include "cw_store_era.h"
 #include "cw_upstream_directory.h"
 
 #include <functional>
@@ -114,6 +115,8 @@
     cw_evacuations evacuations_;
     std::shared_ptr<const cw_site_config> config_;
     std::map<std::string, std::unique_ptr<cw_steward>> stewards_;
+    /// For stewards of services that are added later.
+    cw_store_era store_era_;
     /// Hosts that report to this one, with the time of their last report.
     std::map<std::string, cw_boot_time> last_reports_;
     cw_hosts_by_name host_infos_;
--- a/Source/cw_predecessors.h
+++ b/Source/cw_predecessors.h
@@ -54,12 +54,11 @@
     [[nodiscard]] cw_boot_time grants_end() const { return grants_end_; }
     /// Time after which no grant of a steward that has just been proved to have ended is in force.
     [[nodiscard]] std::chrono::milliseconds max_proved_wait() const;
-
-private:
     /// Time after which no grant of a steward of which nothing is known can be in force.
     [[nodiscard]] std::chrono::milliseconds
     max_unproved_wait(const cw_steward_options& options) const;
 
+private:
     std::chrono::milliseconds max_lease_;
     /// Allowance for commands that a predecessor had decided on before it stopped.
     std::chrono::milliseconds in_flight_allowance_;
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -318,7 +318,7 @@
         return;
     }
     const bool is_vacant = table_.steward.host.empty() || table_.steward.host == self_.host;
-    if (store_era_.may_lack_moves(table_) && now < store_era_.seen_at() + options_.restore_grace) {
+    if (may_lack_moves(table_, now) && now < store_era_.seen_at() + options_.restore_grace) {
         return;
     }
     if (failure_detector_.may_claim(is_vacant, now)) {
@@ -347,20 +347,21 @@
     }
     succeeded_ = last;
     copy.steward = self_;
-    copy.are_owners_uncertain = table_.are_owners_uncertain || store_era_.may_lack_moves(table_);
-    begin_term(copy);
+    copy.are_owners_uncertain = table_.are_owners_uncertain || may_lack_moves(table_, now);
+    begin_term(copy, now);
     write_table(std::move(copy), out);
 }
 
-void cw_steward::begin_term(cw_key_table& table) const {
-    if (store_era_.may_lack_moves(table)) {
+void cw_steward::begin_term(cw_key_table& table, cw_boot_time now) const {
+    const bool lacks_moves = may_lack_moves(table, now);
+    if (lacks_moves) {
         const auto& known = table.predecessors;
         if (std::find(known.begin(), known.end(), cw_steward_id::unknown()) == known.end()) {
             table.predecessors.push_back(cw_steward_id::unknown());
         }
     }
     store_era_.skip_lost_fences(table);
-    if (store_era_.may_lack_moves(table) && table.are_owners_uncertain) {
+    if (lacks_moves && table.are_owners_uncertain) {
         // An unknown steward may have moved any range away and back under higher fences. A steward
         // that goes on keeps its fences: owners that refuse them show that there was one.
         table.renew_fences();
@@ -369,16 +370,20 @@
     table.names_era = true;
 }
 
+bool cw_steward::may_lack_moves(const cw_key_table& table, cw_boot_time now) const {
+    return store_era_.may_lack_moves(table, now, predecessors_.max_unproved_wait(options_));
+}
+
 // -- Steward
 
-void cw_steward::restore_table(commands& out) {
+void cw_steward::restore_table(cw_boot_time now, commands& out) {
     auto copy = table_;
     if (copy.term.era < store_era_.number()) {
         // A claim of an earlier era that the store did not confirm then may have been written over
         // the older copy: this host was not the steward of before.
         const bool was_confirmed = confirmed_at_ != cw_boot_time{};
         copy.are_owners_uncertain = copy.are_owners_uncertain || !was_confirmed;
-        begin_term(copy);
+        begin_term(copy, now);
     }
     record_event("steward writes a lost table again", self_.host, "term " + copy.term.text());
     write_table(std::move(copy), out);
@@ -406,7 +411,7 @@
     if (!is_revision_current() || (now > confirmed_at_ + confirm_interval && !is_table_lost_)) {
         read_table(now, out);
     } else if (is_table_lost_ && !is_store_busy_ && now >= next_store_call_) {
-        restore_table(out);
+        restore_table(now, out);
     } else {
         confirm_for_connections(now, out);
     }
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -126,10 +126,12 @@
     /// Writes a table of the next term that names this host as the steward.
     void claim_stewardship(cw_boot_time now, commands& out);
     /// Writes the steward's table again, which the store has lost.
-    void restore_table(commands& out);
+    void restore_table(cw_boot_time now, commands& out);
     /// Gives the table a term of the store's present era. If the store may have lost moves,
     /// provides for the steward and for the fences of those moves.
-    void begin_term(cw_key_table& table) const;
+    void begin_term(cw_key_table& table, cw_boot_time now) const;
+    /// True if the store may have lost claims and moves that are later than the table.
+    [[nodiscard]] bool may_lack_moves(const cw_key_table& table, cw_boot_time now) const;
     /// True if the revision was read in the store's present era.
     [[nodiscard]] bool is_revision_current() const;
     /// True while keys may be held by upstreams which the table does not name, so that not even the
--- a/Source/cw_store_era.cpp
+++ b/Source/cw_store_era.cpp
@@ -12,6 +12,8 @@
 /// stay below 2^53.
 constexpr std::uint64_t max_missed_eras = 1'000;
 constexpr std::uint64_t max_counted_eras = 4'000'000'000;
+/// Number of the first era, in which a missing table is that of a new service.
+constexpr std::uint64_t first_era = 1;
 
 } // namespace
 
@@ -22,8 +24,12 @@
     }
 }
 
-bool cw_store_era::may_lack_moves(const cw_key_table& table) const {
-    return table.term != cw_term{} && table.names_era && table.term.era < number_;
+bool cw_store_era::may_lack_moves(const cw_key_table& table, cw_boot_time now,
+                                  std::chrono::milliseconds longest_grant_time) const {
+    if (table.term == cw_term{}) {
+        return number_ > first_era && now <= seen_at_ + longest_grant_time;
+    }
+    return table.names_era && table.term.era < number_;
 }
 
 void cw_store_era::skip_lost_fences(cw_key_table& table) const {
--- a/Source/cw_store_era.h
+++ b/Source/cw_store_era.h
@@ -2,6 +2,7 @@
 
 #include "cw_boot_clock.h"
 
+#include <chrono>
 #include <cstdint>
 
 struct cw_key_table;
@@ -19,9 +20,12 @@
     /// When this host learned of it.
     [[nodiscard]] cw_boot_time seen_at() const { return seen_at_; }
 
-    /// True if the table was last written in an earlier era, so that the store may have lost later
-    /// claims and moves.
-    [[nodiscard]] bool may_lack_moves(const cw_key_table& table) const;
+    /// True if the store may have lost claims and moves that are later than the table, which is
+    /// empty if the store has none: it was last written in an earlier era, or is missing in one
+    /// above the first, and this host has not known the era for `longest_grant_time`, after which
+    /// no steward of an earlier era grants keys.
+    [[nodiscard]] bool may_lack_moves(const cw_key_table& table, cw_boot_time now,
+                                      std::chrono::milliseconds longest_grant_time) const;
     /// Raises the last fence of a table of an earlier era, or of an empty one, above all fences
     /// that were given out in earlier eras and that the store may have lost.
     void skip_lost_fences(cw_key_table& table) const;
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -1,3 +1,4 @@
+#include "cw_gateway_control.h"
 #include "cw_ownership_simulation.h"
 #include "cw_steward.h"
 
@@ -180,6 +181,79 @@
     }
 };
 
+/// The control state of one host with a store of era 3 that answers at once.
+struct controlled_host {
+    cw_boot_time now{1'000s};
+    cw_gateway_control control{{"h", 1, "h:1"}, {"west", "h:1", 1.0}, {}, 2'500ms, 1, 0s};
+    std::map<std::string, cw_key_table> tables;
+    std::map<std::string, std::uint64_t> revisions;
+    std::map<std::string, std::size_t> grants;
+
+    void configure(std::uint64_t version, const std::vector<std::string>& services) {
+        std::vector<cw_site_service> list;
+        std::vector<cw_upstream_entry> entries;
+        for (const auto& name : services) {
+            list.push_back({.name = name, .keyed = true});
+            cw_upstream_entry entry;
+            entry.id = "u-" + name;
+            entry.service = name;
+            entry.address = entry.id + ":1";
+            entry.slots = 3;
+            entry.incarnation = 1;
+            entries.push_back(std::move(entry));
+        }
+        auto config = cw_site_config::make(version, {}, {}, std::move(list));
+        REQUIRE(config);
+        receive(cw_config_received{std::make_shared<const cw_site_config>(std::move(*config))});
+        receive(cw_upstreams_listed{std::move(entries)});
+    }
+
+    void run(std::chrono::milliseconds length) {
+        for (const auto end = now + length; now < end; now += 50ms) {
+            receive(cw_clock_tick{});
+        }
+    }
+
+    void receive(const cw_control_event& event) {
+        const auto output = control.decide(event, now);
+        for (const auto& command : output.commands) {
+            std::visit([this](const auto& item) { execute(item); }, command);
+        }
+    }
+
+    void execute(const cw_ownership_command& command) {
+        grants[command.service] += command.type == cw_ownership_command::kind::grant ? 1 : 0;
+        cw_ownership_command_ended ended;
+        ended.number = command.number;
+        ended.result = cw_ownership_command_result::done;
+        ended.ended_at = now;
+        receive(cw_ownership_event{command.service, ended});
+    }
+    void execute(const cw_write_table& command) {
+        tables[command.service] = *cw_key_table::parse(command.text);
+        ++revisions[command.service];
+        answer(command.service);
+    }
+    void execute(const cw_read_table& command) { answer(command.service); }
+    void execute(const cw_write_heartbeat& command) {
+        cw_heartbeat_answer result;
+        result.was_write = true;
+        result.done = true;
+        result.era = 3;
+        receive(cw_ownership_event{command.service, result});
+    }
+    void execute(const cw_read_heartbeat& /*command*/) {}
+    void execute(const cw_notify_predecessor& /*command*/) {}
+
+    void answer(const std::string& service) {
+        cw_table_answer result{cw_table_result::done, false, {}, revisions[service], 3, now};
+        if (tables.contains(service)) {
+            result.table = tables.at(service);
+        }
+        receive(cw_ownership_event{service, result});
+    }
+};
+
 } // namespace
 
 // Guards against keys that come back to their former owner under a fence below that of the owner in
@@ -352,3 +426,59 @@
     REQUIRE_FALSE(accepted_grants.empty());
     CHECK(accepted_grants.front().fence > 51'000'000);
 }
+
+// Guards against a wait for no steward where the store has lost the only table that names one.
+TEST_CASE_FIXTURE(drill, "host_that_finds_no_table_after_a_drill_awaits_the_steward_of_before") {
+    const auto steward = isolate_followers();
+    for (const auto& host : simulation.hosts()) {
+        if (host != steward) {
+            simulation.kill_host(host);
+        }
+    }
+    simulation.disconnect(steward, "store");
+    simulation.restore_store(10s);
+    // The entry of one upstream is missing for the hosts that start, so that keys are shared out
+    // in another way.
+    simulation.expire_upstream_entry("u3");
+    for (const char* host : {"a", "b", "c"}) {
+        if (host != steward) {
+            simulation.start_host(host);
+            simulation.disconnect(steward, host);
+        }
+    }
+    simulation.run(8s);
+    simulation.reconnect_all();
+    simulation.run(longest_wait);
+    check_all_keys_are_held();
+}
+
+// Guards against a wait of 12 s before the keys of a new service are granted, in any era.
+TEST_CASE_FIXTURE(claiming_host, "new_service_in_an_era_known_for_long_is_granted_at_once") {
+    steward.on_store_era(era, now);
+    now += 13s;
+    run(3s);
+    CHECK_FALSE(accepted_grants.empty());
+}
+
+TEST_CASE_FIXTURE(claiming_host, "service_without_a_table_in_the_first_era_is_granted_at_once") {
+    era = 1;
+    run(3s);
+    CHECK_FALSE(accepted_grants.empty());
+}
+
+TEST_CASE_FIXTURE(claiming_host, "service_without_a_table_in_a_later_era_waits_before_grants") {
+    run(12s);
+    CHECK(accepted_grants.empty());
+    run(2s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().fence > 3'000'000);
+}
+
+TEST_CASE_FIXTURE(controlled_host, "service_added_in_a_later_era_is_granted_at_once") {
+    configure(1, {"old"});
+    run(14s);
+    REQUIRE(grants["old"] > 0);
+    configure(2, {"old", "new"});
+    run(3s);
+    CHECK(grants["new"] > 0);
+}
