Raise refused fences of all ranges in one write, by growing steps

What callers saw: none on the platform; a schedule with restores in which the steward raised its fence 5,136 times by 65, a table write each, 4 ms apart, without reaching what an upstream had seen (1,000,010). Its keys are away meanwhile.

Cause: a refusal names no fence, so the steward finds it by trying. The step was 64 for ever, and one range a write was raised.

Change: one write raises the fences of all refused ranges, and the step grows by four with each refusal in a row of the same owner, from 64 to 65,536. 1,000,000 fences take 20 writes for any number of ranges, where they took 15,385 for each; what upstreams have seen is exceeded by one step at most, so a copy of the store lacks no more fences than an era has. A log line tells how many ranges go on with which fence.

--- a/Source/cw_range_state.cpp
+++ b/Source/cw_range_state.cpp
@@ -85,6 +85,9 @@
         state.is_fenced = old.is_fenced;
         state.handover = old.handover;
     }
+    if (old_range.owner == range.owner) {
+        state.refused_fences = old.refused_fences;
+    }
     for (const auto& owner : range.previous_owners) {
         state.holders.push_back(holder_of(owner, part));
     }
--- a/Source/cw_range_state.h
+++ b/Source/cw_range_state.h
@@ -41,6 +41,8 @@
     /// True if the owner refused a grant because it has seen a higher fence. It gets no further
     /// grant with the range's present fence: once it is restarted, it would accept one.
     bool is_fenced = false;
+    /// Fences that the owner has refused in a row.
+    std::uint32_t refused_fences = 0;
 };
 
 /// The state of a range of a new table, derived from the previous table `known` and the states of
--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -11,8 +11,21 @@
 constexpr auto confirm_interval = 1'500ms;
 /// Time after which settled moves that are missing from the store's copy are written.
 constexpr auto save_delay = 1'000ms;
-/// Added to the last fence when an owner has refused a grant because it has seen a higher fence.
-constexpr std::uint64_t fence_increment = 64;
+/// Added to the last fence when owners have refused a grant because they have seen a higher fence;
+/// a refusal does not tell which.
+constexpr std::uint64_t first_fence_step = 64;
+/// Factor by which it is more after each further refusal of the same owner, and the most that it
+/// is.
+constexpr std::uint64_t fence_step_factor = 4;
+constexpr std::uint64_t max_fence_step = 65'536;
+
+std::uint64_t fence_step(std::uint32_t refusals) {
+    auto step = first_fence_step;
+    for (std::uint32_t i = 1; i < refusals && step < max_fence_step; ++i) {
+        step *= fence_step_factor;
+    }
+    return step;
+}
 
 std::string range_text(std::uint32_t first, std::uint32_t last) {
     return std::to_string(first) + "-" + std::to_string(last);
@@ -626,6 +639,11 @@
         if (range.fence == command.fence) {
             state.is_confirmed = state.is_confirmed || done;
             state.is_fenced = event.result == cw_ownership_command_result::fenced;
+            if (done) {
+                state.refused_fences = 0;
+            } else if (state.is_fenced) {
+                ++state.refused_fences;
+            }
             if (!done) {
                 state.next_command = now + options_.command_retry_delay;
             }
@@ -730,16 +748,25 @@
     return list;
 }
 
-void cw_steward::raise_fence(cw_key_table& table) {
+void cw_steward::raise_refused_fences(cw_key_table& table) {
+    std::uint32_t refusals = 0;
+    for (const auto& state : range_states_) {
+        refusals = std::max(refusals, state.is_fenced ? state.refused_fences : 0);
+    }
+    if (refusals == 0) {
+        return;
+    }
+    table.last_fence += fence_step(refusals);
+    std::size_t count = 0;
     for (std::size_t index = 0; index < range_states_.size(); ++index) {
         if (range_states_[index].is_fenced) {
-            table.last_fence += fence_increment;
             table.ranges[index].fence = ++table.last_fence;
-            record_event("owner has seen a higher fence", table.ranges[index].owner.id,
-                         "continues with fence " + std::to_string(table.ranges[index].fence));
-            return;
+            ++count;
         }
     }
+    record_event("owners have seen higher fences", self_.host,
+                 std::to_string(count) + " ranges continue with fences up to " +
+                     std::to_string(table.last_fence));
 }
 
 void cw_steward::plan_moves(cw_boot_time now, commands& out) {
@@ -757,7 +784,7 @@
     auto next = table_;
     // A higher fence may be that of an unknown steward, which granted the range to another owner.
     if (!may_unknown_steward_grant(now)) {
-        raise_fence(next);
+        raise_refused_fences(next);
     }
     // A new steward knows no speeds yet. Balancing without them would revert the moves that its
     // predecessor made with them.
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -482,3 +482,22 @@
     run(3s);
     CHECK(grants["new"] > 0);
 }
+
+// Guards against a climb that takes a table write for each 65 fences and each range (issue 51).
+TEST_CASE_FIXTURE(claiming_host, "refused_fences_reach_what_upstreams_have_seen_in_few_writes") {
+    stored = vacant_table(3);
+    stored->ranges.assign(8, stored->ranges.front());
+    for (std::uint32_t index = 0; index < 8; ++index) {
+        auto& range = stored->ranges.at(index);
+        range.first = index * 8'192;
+        range.last = range.first + 8'191;
+    }
+    seen_fence = 1'000'010;
+    run(4s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().fence >= seen_fence);
+    // 20 raises of all ranges together, the claim, and others such as moves that have settled.
+    CHECK(writes.size() <= 30);
+    // Nothing is skipped beyond what a later host could make up for in an older copy of the store.
+    CHECK(steward.table().last_fence < seen_fence + 100'000);
+}
