Grant keys of a table without an era above lost fences

What callers would see: during the upgrade from a release that did not know the store's eras, after a drill, an owner is granted its keys under the fence of an older copy.

Cause: a table without an era names none to compare, and was taken for a current one.

Change: a claim over it gives each range a fence above those of all earlier eras. It still grants at once: whether such a table is of before the store's return is not known, and the first claim of this release would else take all keys away for 12 s. Stores that name no era are unchanged.

Evidence: owner_in_a_table_without_an_era_is_granted_above_lost_fences fails before (granted under 5) and holds after; owner_in_a_vacant_table_is_granted_its_keys_at_once_* holds as before.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -373,10 +373,12 @@
             table.predecessors.push_back(cw_steward_id::unknown());
         }
     }
+    const bool is_of_earlier_release = !table.names_era && table.term.era < store_era_.number();
     store_era_.skip_lost_fences(table);
-    if (lacks_moves && table.are_owners_uncertain) {
+    if ((lacks_moves && table.are_owners_uncertain) || is_of_earlier_release) {
         // An unknown steward may have moved any range away and back under higher fences. A steward
-        // that goes on keeps its fences: owners that refuse them show that there was one.
+        // that goes on keeps its fences: owners that refuse them show that there was one. A table
+        // of an earlier release does not tell whether it is of before the store's return.
         table.renew_fences();
     }
     table.term = {store_era_.number(), table.term.number + 1};
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -501,3 +501,12 @@
     // Nothing is skipped beyond what a later host could make up for in an older copy of the store.
     CHECK(steward.table().last_fence < seen_fence + 100'000);
 }
+
+// Guards against old fences where the table is of a release that did not know the store's eras.
+TEST_CASE_FIXTURE(claiming_host, "owner_in_a_table_without_an_era_is_granted_above_lost_fences") {
+    stored = vacant_table(0);
+    stored->names_era = false;
+    run(2s);
+    REQUIRE_FALSE(accepted_grants.empty());
+    CHECK(accepted_grants.front().fence > 3'000'000);
+}
