Move the raise of refused fences out of cw_steward

Change: cw_raise_refused_fences holds the steps and works on a table and its states alone. No decision changes.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -1,5 +1,7 @@
 #include "cw_steward.h"
 
+#include "cw_refused_fences.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,21 +13,6 @@
 constexpr auto confirm_interval = 1'500ms;
 /// Time after which settled moves that are missing from the store's copy are written.
 constexpr auto save_delay = 1'000ms;
-/// Added to the last fence when owners have refused a grant because they have seen a higher fence;
-/// a refusal does not tell which.
-constexpr std::uint64_t first_fence_step = 64;
-/// Factor by which it is more after each further refusal of the same owner, and the most that it
-/// is.
-constexpr std::uint64_t fence_step_factor = 4;
-constexpr std::uint64_t max_fence_step = 65'536;
-
-std::uint64_t fence_step(std::uint32_t refusals) {
-    auto step = first_fence_step;
-    for (std::uint32_t i = 1; i < refusals && step < max_fence_step; ++i) {
-        step *= fence_step_factor;
-    }
-    return step;
-}
 
 std::string range_text(std::uint32_t first, std::uint32_t last) {
     return std::to_string(first) + "-" + std::to_string(last);
@@ -750,27 +737,6 @@
     return list;
 }
 
-void cw_steward::raise_refused_fences(cw_key_table& table) {
-    std::uint32_t refusals = 0;
-    for (const auto& state : range_states_) {
-        refusals = std::max(refusals, state.is_fenced ? state.refused_fences : 0);
-    }
-    if (refusals == 0) {
-        return;
-    }
-    table.last_fence += fence_step(refusals);
-    std::size_t count = 0;
-    for (std::size_t index = 0; index < range_states_.size(); ++index) {
-        if (range_states_[index].is_fenced) {
-            table.ranges[index].fence = ++table.last_fence;
-            ++count;
-        }
-    }
-    record_event("owners have seen higher fences", self_.host,
-                 std::to_string(count) + " ranges continue with fences up to " +
-                     std::to_string(table.last_fence));
-}
-
 void cw_steward::plan_moves(cw_boot_time now, commands& out) {
     const bool is_first_plan =
         std::none_of(table_.ranges.begin(), table_.ranges.end(),
@@ -786,7 +752,11 @@
     auto next = table_;
     // A higher fence may be that of an unknown steward, which granted the range to another owner.
     if (!may_unknown_steward_grant(now)) {
-        raise_refused_fences(next);
+        if (const auto count = cw_raise_refused_fences(next, range_states_); count > 0) {
+            record_event("owners have seen higher fences", self_.host,
+                         std::to_string(count) + " ranges continue with fences up to " +
+                             std::to_string(next.last_fence));
+        }
     }
     // A new steward knows no speeds yet. Balancing without them would revert the moves that its
     // predecessor made with them.
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -186,10 +186,6 @@
     /// Upstreams that may own keys. Cold ones are left out, and so give their keys away, if the
     /// service has a limit for them and at least half of the upstreams are not cold.
     [[nodiscard]] std::vector<cw_key_candidate> candidates(cw_boot_time now) const;
-    /// Raises the fences of all ranges whose owners refused a grant because they have seen a higher
-    /// fence. The step grows with each refusal in a row: 1,000,000 fences take 20 writes of the
-    /// table, and what the owners have seen is exceeded by one step at most.
-    void raise_refused_fences(cw_key_table& table);
     void record_event(std::string type, std::string subject, std::string detail);
 
     std::string service_;
