Wait for the longest lease of an acknowledging steward of before

What callers would see: a key with two holders for up to 0.8 s, where leases were lengthened in the seconds that the store has lost, and the steward of before acknowledges its successor.

Cause: the length of the longest lease only rises and stands in the table; an older copy names a shorter one, and the successor waits for that. Found by looking for other numbers that are taken from a copy which may be old.

Change: the successor takes the longest lease from the table that comes with the acknowledgement, waits for it and writes it. In the wait for an unknown steward the second that others leave it to write its table again covers the difference (0.83 s).

Evidence: acknowledged_successor_awaits_the_longest_lease_of_before fails before (granted within 1.6 s, the leases may last 2.37 s) and holds after.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -138,6 +138,7 @@
                                !event.table->are_owners_uncertain;
     if (is_steward() && table_.are_owners_uncertain && proves_owners && !succeeded_table_) {
         succeeded_table_ = event.table;
+        note_lease(succeeded_table_->longest_lease);
         owners_certain_at_ = now + predecessors_.max_proved_wait();
         record_event("owners will be certain", self_.host, "acknowledged by " + succeeded_.host);
     }
@@ -789,6 +790,7 @@
     // steward of before: one that refuses its fence shows that there was an unknown steward.
     next.ranges = succeeded_table_->ranges;
     next.last_fence = std::max(next.last_fence, succeeded_table_->last_fence);
+    next.longest_lease = std::max(next.longest_lease, succeeded_table_->longest_lease);
     next.are_owners_uncertain = false;
     record_event("owners are certain", self_.host, "they are those of " + succeeded_.host);
     write_table(std::move(next), out);
--- a/Tests/Gateway/cw_drill_test.cpp
+++ b/Tests/Gateway/cw_drill_test.cpp
@@ -137,6 +137,20 @@
         return table;
     }
 
+    /// Claims over an older copy that names another host as the steward. Returns the table of that
+    /// one.
+    std::shared_ptr<cw_key_table> succeed_steward() {
+        stored = vacant_table(2);
+        stored->steward = {"g", 1, "g:1"};
+        auto before = std::make_shared<cw_key_table>(*stored);
+        run(100ms);
+        steward.on_report_result(cw_report_result::refused, now);
+        run(2s);
+        REQUIRE(steward.is_steward());
+        CHECK(accepted_grants.empty());
+        return before;
+    }
+
     void run(std::chrono::milliseconds length) {
         for (const auto end = now + length; now < end; now += tick_interval) {
             cw_steward::commands commands;
@@ -319,16 +333,9 @@
 // Guards against a successor that goes by its own older copy once it has been acknowledged, or that
 // raises fences which owners refuse because an unknown steward has moved their keys.
 TEST_CASE_FIXTURE(claiming_host, "acknowledged_successor_grants_the_owners_and_fences_of_before") {
-    stored = vacant_table(2);
-    stored->steward = {"g", 1, "g:1"};
-    const auto before = std::make_shared<cw_key_table>(*stored);
+    const auto before = succeed_steward();
     before->ranges.front().owner = {"v", 1, "v:1"};
     before->ranges.front().fence = 6;
-    run(100ms);
-    steward.on_report_result(cw_report_result::refused, now);
-    run(2s);
-    REQUIRE(steward.is_steward());
-    CHECK(accepted_grants.empty());
     steward.on_succession_ack({before->steward, steward.table().term, before}, now);
     run(2s);
     REQUIRE_FALSE(accepted_grants.empty());
@@ -510,3 +517,17 @@
     REQUIRE_FALSE(accepted_grants.empty());
     CHECK(accepted_grants.front().fence > 3'000'000);
 }
+
+// Guards against a wait for shorter leases than those of the steward of before, whose table the
+// store has lost.
+TEST_CASE_FIXTURE(claiming_host, "acknowledged_successor_awaits_the_longest_lease_of_before") {
+    const auto before = succeed_steward();
+    before->longest_lease = 1'800ms;
+    steward.on_succession_ack({before->steward, steward.table().term, before}, now);
+    // The lease, 4% for a slow clock, and 500 ms for commands that were on their way.
+    run(2'350ms);
+    CHECK(accepted_grants.empty());
+    run(300ms);
+    CHECK_FALSE(accepted_grants.empty());
+    CHECK(steward.table().longest_lease == 1'800ms);
+}
