Describe what holds for fences after a drill of the store

The log line of uncertain owners says that nothing is granted and which last fence the table has: the former text sounded as if the ranges' fences began above it.

--- a/Source/cw_steward.cpp
+++ b/Source/cw_steward.cpp
@@ -281,7 +281,8 @@
                      std::to_string(wait.count()) + " ms");
     if (table_.are_owners_uncertain) {
         record_event("owners are uncertain", self_.host,
-                     "the store came back from an older copy, fences continue above " +
+                     "the store may have lost moves, nothing is granted until they are certain; "
+                     "last fence " +
                          std::to_string(table_.last_fence));
     }
     drop_ended_predecessors(now);
--- a/Source/cw_steward.h
+++ b/Source/cw_steward.h
@@ -27,14 +27,15 @@
 /// knows when each lease that it granted expires. The key table in the store names the steward: a
 /// host takes over by a conditional write of the table, and a steward stops granting when the store
 /// has not confirmed it for the length of the tenure. A successor renews the leases of present
-/// owners at once, which is always safe. It moves the keys of an unresponsive owner only when all
-/// grants of earlier stewards have expired.
+/// owners at once, which is safe as long as the store has lost no move. It moves the keys of an
+/// unresponsive owner only when all grants of earlier stewards have expired.
 ///
 /// The store may come back from an older copy of itself, which lacks the latest claims and moves.
 /// The steward then writes its table again under a term of the new era. Whoever writes in a new era
-/// counts on an unknown steward of before: the fences continue far above the known ones, keys of an
-/// owner that does not answer wait for that steward's tenure, and a host that was not the steward
-/// itself grants nothing until then unless the steward of before acknowledges the succession.
+/// counts on an unknown steward of before: the fences continue far above the known ones, and keys
+/// of an owner that does not answer wait for that steward's tenure. A host that was not the steward
+/// itself grants nothing until then, and then each range under a new fence; or it goes by the
+/// owners and fences of the steward of before, if that one acknowledges the succession.
 ///
 /// A deterministic state machine: it reads no clock and does no I/O. Events come in through the
 /// on_...() functions; commands for the caller to execute are appended to `out`.
