--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -15,7 +15,15 @@
     rm -rf "$work"
 }
 trap finish EXIT
-base=$((20000 + RANDOM % 8 * 1000))
+# The first thousand ports from a random one on in which nobody listens.
+used=$(awk 'NR > 1 { split($2, part, ":"); print part[2] }' /proc/net/tcp | while read -r hex; do echo $((16#$hex)); done)
+base=0
+for try in $(seq 0 11); do
+    base=$((10000 + (RANDOM + try) % 20 * 1000))
+    echo "$used" | awk -v first="$base" '$1 >= first && $1 < first + 1000 { found = 1 } END { exit found }' && break
+    base=0
+done
+[ "$base" -ne 0 ] || exit 2
 listen=$((base + 900)) admin=$((base + 901)) peer=$((base + 902))
 cat >"$work/boot.json" <<SETTINGS
 {"host": "front-1", "domain": "z", "listen": "127.0.0.1:$listen", "admin": "127.0.0.1:$admin", "peer_port": $peer,
