--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -7,6 +7,7 @@
 #include "cw_http_message.h"
 #include "cw_platform_standin.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -71,9 +72,14 @@
     std::size_t max_connections = 520;
     std::chrono::milliseconds work{290};
     std::chrono::seconds idle_timeout{10};
+    bool is_keyed = false;
 };
 
-/// An instance as PROTOCOL.md has it, of a service that is not divided by key.
+inline constexpr std::uint32_t last_key = 65'535;
+/// Largest share of the answers that `garble` spoils in a site file.
+inline constexpr double largest_share = 0.02;
+
+/// An instance as PROTOCOL.md has it.
 class server {
 public:
     server(net::io_context& context, std::string id, std::uint16_t port, server_options options)
@@ -109,10 +115,11 @@
     void leave() { is_leaving_ = true; }
     [[nodiscard]] std::size_t connections() const { return sockets_.size(); }
     [[nodiscard]] std::uint64_t runs() const { return runs_; }
-    /// True if it has made the whole answer to that request.
-    [[nodiscard]] bool has_reported(const std::string& attempt) const {
-        return reports_.contains(attempt);
-    }
+    /// From now on the token in its answers to releases has wrong bytes, in as large a share of all
+    /// its answers as the site file has for `garble` at most.
+    void spoil_tokens() { spoils_tokens_ = true; }
+    [[nodiscard]] std::uint64_t spoilt() const { return spoilt_; }
+    [[nodiscard]] std::uint64_t answers() const { return answers_; }
     [[nodiscard]] json entry(std::uint64_t sequence) const {
         return {{"service", options_.service},
                 {"address", "127.0.0.1:" + std::to_string(port_)},
@@ -156,6 +163,7 @@
                 break;
             }
             auto answer = co_await handle(request);
+            ++answers_;
             if (has_ended_) {
                 break;
             }
@@ -183,6 +191,16 @@
             answer.set("X-Cuminwinch-Not-Executed", "1");
             co_return answer;
         }
+        if (request.target() == "/api/grant" || request.target() == "/api/release") {
+            co_return co_await command(request);
+        }
+        const auto key = static_cast<std::uint32_t>(
+            std::atoi(std::string{request["X-Cuminwinch-Shard-Key"]}.c_str()));
+        if (options_.is_keyed && !holds(key)) {
+            answer.result(http::status::misdirected_request);
+            answer.set("X-Cuminwinch-Not-Executed", "1");
+            co_return answer;
+        }
         if (running_ >= options_.slots && waiting_ >= options_.queue) {
             answer.result(http::status::service_unavailable);
             answer.set("X-Cuminwinch-Not-Executed", "1");
@@ -196,17 +214,63 @@
         --waiting_;
         ++running_;
         ++runs_;
+        at_work_[key] += options_.is_keyed ? 1 : 0;
         co_await cw_pause(context_, options_.work);
         --running_;
+        at_work_[key] -= options_.is_keyed ? 1 : 0;
         answer.set("X-Cuminwinch-Response-Signature", "signed-" + attempt);
         set_load(answer);
-        // The query names the length of the body, if it is to be longer.
-        const std::string target{request.target()};
-        const auto at = target.find("?bytes=");
-        if (at != std::string::npos) {
-            answer.body().resize(std::stoul(target.substr(at + 7)), '.');
-            ++reports_[attempt];
+        co_return answer;
+    }
+
+    [[nodiscard]] bool holds(std::uint32_t key) const {
+        return key <= last_key && !held_until_.empty() && clock_type::now() < held_until_[key];
+    }
+
+    /// Executes a grant or a release. A release is answered when the work on its keys has ended.
+    net::awaitable<cw_http_response> command(const cw_http_request& request) {
+        const auto body = json::parse(request.body());
+        const auto first = body.at("from").get<std::uint32_t>();
+        const auto last = body.at("target").get<std::uint32_t>();
+        const auto fence = body.at("fence").get<std::uint64_t>();
+        const bool is_grant = request.target() == "/api/grant";
+        if (held_until_.empty()) {
+            held_until_.resize(last_key + 1);
+            fences_.resize(last_key + 1);
+        }
+        for (auto key = first; is_grant && key <= last; ++key) {
+            if (fences_[key] > fence) {
+                co_return cw_make_response(http::status::conflict, "{}");
+            }
+        }
+        const auto until =
+            is_grant ? clock_type::now() +
+                           std::chrono::duration_cast<clock_type::duration>(
+                               std::chrono::duration<double>(body.at("holdS").get<double>()))
+                     : clock_type::time_point{};
+        for (auto key = first; key <= last; ++key) {
+            fences_[key] = std::max(fences_[key], fence);
+            held_until_[key] = until;
+        }
+        auto answer = cw_make_response(http::status::ok, "{}");
+        if (is_grant) {
+            co_return answer;
+        }
+        const auto is_at_work = [&] {
+            return std::any_of(at_work_.begin(), at_work_.end(), [&](const auto& item) {
+                return item.second > 0 && item.first >= first && item.first <= last;
+            });
+        };
+        while (is_at_work()) {
+            co_await cw_pause(context_, 5ms);
+        }
+        std::string token = "5c0e7a21d94b36f8";
+        if (spoils_tokens_ &&
+            static_cast<double>(spoilt_ + 1) <= largest_share * static_cast<double>(answers_)) {
+            token[7] = static_cast<char>(0xe9);
+            ++spoilt_;
         }
+        answer.set("X-Cuminwinch-Handover", token);
         co_return answer;
     }
 
@@ -226,7 +290,12 @@
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
     std::uint64_t runs_ = 0;
-    std::map<std::string, int> reports_;
+    std::vector<clock_type::time_point> held_until_;
+    std::vector<std::uint64_t> fences_;
+    std::map<std::uint32_t, int> at_work_;
+    bool spoils_tokens_ = false;
+    std::uint64_t spoilt_ = 0;
+    std::uint64_t answers_ = 0;
     bool is_leaving_ = false;
     bool has_ended_ = false;
 };
