--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into build/review-3. Needs the libraries that the build of the deploy
+# Builds the stand-ins of case 11 into build/review-3. Needs the libraries that the build of the deploy
 # file has left in target/.
 set -eu
 cd "$(dirname "$0")/.."
